--- /dev/null
+++ b/src/main/java/coralcove/Choice.java
@@ -0,0 +1,530 @@
+package coralcove;
+
+import static coralcove.Exchange.Phase.READY;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.random.RandomGenerator;
+
+/**
+ * All decisions of one call router. The interface, and how it is called, is in CallRouter.java: route() for a
+ * new session or one whose "later" is due, after() for each news of an INVITE, waiting() when a round is done;
+ * the rest tell facts. One object serves one exchange's router, on one thread, with no clock or wire of its own.
+ */
+public final class Choice implements CallRouter {
+    // The design's figures.
+    /** Share: the design's bound on the slack of the targets; the largest gives the steepest allowed test. */
+    private static final double EPSILON = 0.05;
+    /** µs: span over which a service's rate on a group is counted (design). */
+    private static final long RATE_WINDOW = 10_000_000;
+    /** µs: age at which a group's targets are worked out anew (design). */
+    private static final long REFRESH = 5_000_000;
+    /** Share of a group, and multiples of the widest service, that free must exceed to take anything (design). */
+    private static final double FREE_SHARE = 0.2;
+    private static final int FREE_WIDTHS = 2;
+    /** Buckets of the rings of load and of phantoms: steps of half a second and of a hold's thirtieth. */
+    private static final int LOAD_BUCKETS = 20;
+    private static final int PHANTOM_BUCKETS = 30;
+    // The guards' figures.
+    /** Share of the post-dial target that a set-up may seem to take: less for a tandem, most for high value. */
+    private static final double PRESS_TANDEM = 0.3;
+    private static final double PRESS_LOW = 0.5;
+    private static final double PRESS_HIGH = 0.8;
+    /** µs: an exchange's last set-up time says nothing after this; one session then finds out anew. */
+    private static final long NEWS_FRESH = 1_000_000;
+    /** INVITEs in a row without an answer that close an exchange: two can be chance, more costs circuits. */
+    private static final int FAILURES = 3;
+    /** µs: a closed exchange's first wait for a trial, and the longest; near the length of a short stall. */
+    private static final long TRIAL_FIRST = 500_000;
+    private static final long TRIAL_LONGEST = 2_000_000;
+    /** µs: hold-back after a full processor that names no wait: about what drains between two answers. */
+    private static final long FULL_HOLD = 300_000;
+    /** µs: a tandem that turned a session back is not asked for that far end for this long. */
+    private static final long TURNED_BACK_HOLD = 1_000_000;
+    /** In-flight sessions a fresh exchange starts with; each answer allows one more. */
+    private static final int FRESH_CAP = 2;
+    /** Share of a fresh exchange's budget that is used, since its speed is guessed from other loads. */
+    private static final double COLD_SHARE = 0.9;
+    /** µs: less than this before its timer limit a session is not sent any more; a set-up takes longer. */
+    private static final long TOO_LATE = 100_000;
+
+    private final int ownNumber;
+    private final int routers;
+    private final boolean pools;
+    private final int inviteLimit;
+    private final long comeBack;
+    private final long releaseWait;
+    private final double coldBudget;
+    private final long fallWindow;
+    private final long warmUp;
+    private final boolean subscribes;
+    private final Service[] services;
+    private final int[] byWorth;
+    private final int widest;
+    private final Ring ownLoad = new Ring(RATE_WINDOW, LOAD_BUCKETS);
+    private final Map<Long, Far> exchanges = new LinkedHashMap<>();
+    private final TreeMap<Integer, Group> groups = new TreeMap<>();
+    private final Map<Long, Held> held = new HashMap<>();
+    private long started = -1;
+    private boolean subscribeDue;
+
+    /** What a service is to the decisions. */
+    private record Service(long target, double value, int width, long hold, boolean repeatable, int rank,
+            double press, List<Integer> pools) {}
+
+    /** One service on one group: standing calls x, phantom calls y, and the targets of the last refresh. */
+    private static final class Load {
+        final Ring calls = new Ring(RATE_WINDOW, LOAD_BUCKETS);
+        final Ring phantoms;
+        int standing;
+        boolean aimed;
+        double c0;
+        double c1;
+
+        Load(long hold) {
+            phantoms = new Ring(hold, PHANTOM_BUCKETS);
+        }
+    }
+
+    /** The circuits between here and one number, whichever machine serves that number now. */
+    private static final class Group {
+        final Load[] loads;
+        final Map<Integer, Long> turnedBack = new HashMap<>();
+        int free;
+        int size;
+        double beta;
+        long refreshAt;
+
+        Group(Service[] services) {
+            loads = new Load[services.length];
+            for (int i = 0; i < loads.length; i++) {
+                loads[i] = new Load(services[i].hold());
+            }
+        }
+    }
+
+    /** One exchange's processor as seen from here. */
+    private static final class Far {
+        final long id;
+        final int number;
+        final Group group;
+        final Ring sends;
+        final Map<Long, Invite> settingUp = new LinkedHashMap<>();
+        boolean ready;
+        long since;
+        int failures;
+        long trialAt;
+        long holdUntil;
+        int cap;
+        long lastTook;
+        long lastAt;
+
+        Far(long id, int number, Group group, Ring sends) {
+            this.id = id;
+            this.number = number;
+            this.group = group;
+            this.sends = sends;
+        }
+    }
+
+    private record Invite(Far far, long sentAt, boolean trial) {}
+
+    /** A session in hand, until nothing more can come for it. */
+    private static final class Held {
+        final Session session;
+        Invite invite;
+        int sent;
+        long notBefore;
+        final List<Far> tried = new ArrayList<>();
+
+        Held(Session session) {
+            this.session = session;
+        }
+    }
+
+    private enum Test { PASS, FULL, KEPT_BACK }
+
+    public Choice(Settings settings, RandomGenerator chance) {
+        ownNumber = settings.ownNumber();
+        routers = settings.routers();
+        pools = settings.pools();
+        inviteLimit = settings.inviteLimit();
+        comeBack = settings.comeBack() ? settings.longestComeBack() : 0;
+        releaseWait = settings.releaseWait();
+        fallWindow = settings.fallWindow();
+        warmUp = settings.warmUp();
+        coldBudget = COLD_SHARE * settings.fallMultiple() * settings.coldFrom() * fallWindow / 1e6;
+        subscribes = settings.subscribe();
+        subscribeDue = subscribes;
+        List<Settings.Service> given = settings.services();
+        byWorth = order(given);
+        services = new Service[given.size()];
+        int most = 1;
+        for (int rank = 0; rank < byWorth.length; rank++) {
+            Settings.Service it = given.get(byWorth[rank]);
+            double press = rank == 0 && byWorth.length > 1 ? PRESS_HIGH : PRESS_LOW;
+            services[byWorth[rank]] = new Service(it.target(), it.value(), it.width(), it.hold(), it.repeatable(),
+                    rank, press, it.pools());
+            most = Math.max(most, it.width());
+        }
+        widest = most;
+    }
+
+    /** Services by falling value per circuit; equal ones in the order of the settings. */
+    private static int[] order(List<Settings.Service> given) {
+        List<Integer> order = new ArrayList<>();
+        for (int i = 0; i < given.size(); i++) {
+            order.add(i);
+        }
+        order.sort((a, b) -> Double.compare(given.get(b).value() / given.get(b).width(),
+                given.get(a).value() / given.get(a).width()));
+        return order.stream().mapToInt(Integer::intValue).toArray();
+    }
+
+    // ---- the three questions
+
+    @Override
+    public Answer route(long now, Session session) {
+        begin(now);
+        Held it = held.get(session.id());
+        if (it == null) {
+            it = new Held(session);
+            held.put(session.id(), it);
+            if (!session.transit()) {
+                ownLoad.add(now, 1);
+            }
+            Far far = ready(session.farEnd());
+            if (far != null) {
+                far.group.loads[session.service()].calls.add(now, 1);
+            }
+        }
+        return now < it.notBefore ? Answer.later(it.notBefore) : choose(now, it);
+    }
+
+    @Override
+    public Answer after(long now, long session, Ending ending, Cause cause, long exchange, long took, long namedWait,
+            boolean over) {
+        begin(now);
+        Held it = held.get(session);
+        if (it == null || it.invite == null) {
+            return over ? Answer.NOTHING : Answer.FAIL;
+        }
+        Far far = it.invite.far;
+        settled(now, session, it, ending, cause, took, namedWait);
+        if (ending == Ending.STANDS) {
+            return Answer.NOTHING;
+        }
+        far.group.loads[it.session.service()].standing--;
+        it.invite = null;
+        if (over) {
+            held.remove(session);
+            return Answer.NOTHING;
+        }
+        return again(now, it, far, ending, cause);
+    }
+
+    @Override
+    public Waiting waiting(long now) {
+        begin(now);
+        boolean subscribe = subscribeDue;
+        subscribeDue = false;
+        return new Waiting(0, List.of(), List.of(), subscribe);
+    }
+
+    // ---- the facts
+
+    @Override
+    public void roster(long now, boolean whole, List<Exchange> list) {
+        begin(now);
+        if (whole) {
+            exchanges.values().forEach(far -> far.ready = false);
+        }
+        for (Exchange each : list) {
+            Far far = exchanges.computeIfAbsent(each.id(), id -> new Far(id, each.number(),
+                    groups.computeIfAbsent(each.number(), n -> new Group(services)), new Ring(fallWindow, 8)));
+            far.ready = each.phase() == READY;
+            if (far.since != each.since()) {
+                far.since = each.since();
+                far.failures = 0;
+                far.cap = FRESH_CAP;
+            }
+        }
+    }
+
+    @Override
+    public void rosterLost(long now) {
+        subscribeDue = subscribes;
+    }
+
+    @Override
+    public void circuits(long now, long exchange, int free, int size) {
+        Far far = exchanges.get(exchange);
+        if (far != null) {
+            far.group.free = free;
+            far.group.size = size;
+        }
+    }
+
+    @Override
+    public void report(long now, long exchange, boolean passed, long took, float[] columns) {
+        begin(now);
+    }
+
+    @Override
+    public void peer(long now, int rank, byte[] body) {
+        begin(now);
+    }
+
+    @Override
+    public void ended(long now, long session) {
+        Held it = held.get(session);
+        if (it != null && it.invite == null) {
+            held.remove(session);
+        }
+    }
+
+    private void begin(long now) {
+        if (started < 0) {
+            started = now;
+        }
+    }
+
+    // ---- routes
+
+    private Answer choose(long now, Held it) {
+        Session session = it.session;
+        Far direct = ready(session.farEnd());
+        if (direct == null || it.sent >= inviteLimit || session.limit() - now < TOO_LATE) {
+            return refuse(now, it, direct);
+        }
+        Service service = services[session.service()];
+        if (!session.transit() && it.sent > 0) {
+            return open(now, direct, service.target, service.press) ? overflow(now, it, direct)
+                    : refuse(now, it, direct);
+        }
+        if (!open(now, direct, service.target, service.press)) {
+            return refuse(now, it, direct);
+        }
+        return switch (test(now, direct.group, session)) {
+            case PASS -> send(now, it, direct);
+            case KEPT_BACK -> refuse(now, it, direct);
+            case FULL -> session.transit() ? refuse(now, it, direct) : overflow(now, it, direct);
+        };
+    }
+
+    /** A session whose direct group is full tries the tandem whose first leg passes with the least slope. */
+    private Answer overflow(long now, Held it, Far direct) {
+        Session session = it.session;
+        Service service = services[session.service()];
+        Far best = null;
+        double least = Double.POSITIVE_INFINITY;
+        for (Group group : groups.values()) {
+            Far far = group == direct.group ? null : ready(group);
+            if (far == null || far.number == ownNumber || it.tried.contains(far) || !allowed(service, far)
+                    || group.turnedBack.getOrDefault(direct.number, 0L) > now
+                    || !open(now, far, service.target, PRESS_TANDEM) || test(now, group, session) != Test.PASS) {
+                continue;
+            }
+            double slope = slope(group, session);
+            if (slope < least) {
+                least = slope;
+                best = far;
+            }
+        }
+        if (best == null) {
+            return refuse(now, it, direct);
+        }
+        best.group.loads[session.service()].calls.add(now, 1);
+        return send(now, it, best);
+    }
+
+    private boolean allowed(Service service, Far far) {
+        return !pools || service.pools.isEmpty() || service.pools.contains(far.number);
+    }
+
+    private Answer send(long now, Held it, Far far) {
+        Session session = it.session;
+        boolean trial = far.failures >= FAILURES;
+        it.invite = new Invite(far, now, trial);
+        it.sent++;
+        it.tried.add(far);
+        far.group.free -= session.width();
+        far.group.loads[session.service()].standing++;
+        far.settingUp.put(session.id(), it.invite);
+        far.sends.add(now, 1);
+        long left = session.limit() - now;
+        return Answer.send(far.id, trial ? Math.min(left, services[session.service()].target) : left);
+    }
+
+    private Answer refuse(long now, Held it, Far direct) {
+        held.remove(it.session.id());
+        if (direct != null) {
+            direct.group.loads[it.session.service()].phantoms.add(now, 1);
+        }
+        return Answer.refuse(comeBack);
+    }
+
+    private Answer again(long now, Held it, Far far, Ending ending, Cause cause) {
+        Service service = services[it.session.service()];
+        boolean ran = ending == Ending.TIMED_OUT || ending == Ending.RESET || ending == Ending.CANCELLED;
+        if (ran) {
+            it.notBefore = now + releaseWait;
+        }
+        if ((ran || ending == Ending.ERROR) && !service.repeatable) {
+            held.remove(it.session.id());
+            return Answer.FAIL;
+        }
+        boolean hopeless = cause == Cause.FULL_BEYOND || cause == Cause.LINES_BUSY
+                || far.number == it.session.farEnd() && ending != Ending.NOT_SENT
+                || Math.max(now, it.notBefore) > it.session.arrived() + service.target
+                || it.session.transit();
+        if (hopeless) {
+            return refuse(now, it, ready(it.session.farEnd()));
+        }
+        return now < it.notBefore ? Answer.later(it.notBefore) : choose(now, it);
+    }
+
+    // ---- the penalty test
+
+    private Test test(long now, Group group, Session session) {
+        if (group.free < session.width()) {
+            return Test.FULL;
+        }
+        if (now >= group.refreshAt) {
+            refresh(now, group);
+        }
+        Load load = group.loads[session.service()];
+        boolean roomy = group.free >= FREE_SHARE * group.size && group.free >= FREE_WIDTHS * widest;
+        if (roomy || !load.aimed) {
+            return Test.PASS;
+        }
+        if (load.c0 <= 0) {
+            return Test.KEPT_BACK;
+        }
+        if (load.c1 <= 0) {
+            return Test.PASS;
+        }
+        double bound = load.phantoms.sum(now) / load.c1
+                + Math.log(load.c0 / load.c1) / (group.beta * session.width());
+        return load.standing / load.c0 <= bound ? Test.PASS : Test.KEPT_BACK;
+    }
+
+    /** The logarithm of the penalty's slope along x: low where one more call weighs least. */
+    private static double slope(Group group, Session session) {
+        Load load = group.loads[session.service()];
+        if (!load.aimed || load.c0 <= 0 || group.beta <= 0) {
+            return Double.NEGATIVE_INFINITY;
+        }
+        double per = group.beta * session.width() / load.c0;
+        return Math.log(per) + per * load.standing;
+    }
+
+    /** The fractional knapsack by falling value per circuit, and what follows from it. */
+    private void refresh(long now, Group group) {
+        group.refreshAt = now + REFRESH;
+        double span = Math.max(1, Math.min(RATE_WINDOW, now - started));
+        double left = group.size / (1 + 4 * EPSILON);
+        double least = Double.POSITIVE_INFINITY;
+        for (int index : byWorth) {
+            Load load = group.loads[index];
+            Service service = services[index];
+            double rho = load.calls.sum(now) / span * service.hold;
+            double need = rho * service.width;
+            boolean first = !load.aimed;
+            load.aimed = need > 0;
+            if (need <= 0) {
+                continue;
+            }
+            double alpha = Math.min(1, Math.max(0, left) / need);
+            left -= alpha * need;
+            load.c0 = (1 + 4 * EPSILON) * alpha * need;
+            load.c1 = (1 + 4 * EPSILON) * (1 - alpha) * need;
+            if (alpha > 0) {
+                least = Math.min(least, load.c0 / service.width);
+            }
+            if (alpha > 0 && alpha < 1) {
+                least = Math.min(least, load.c1 / service.width);
+            }
+            if (first) {
+                load.phantoms.spread(now, (1 - alpha) * rho);
+            }
+        }
+        group.beta = EPSILON * least;
+    }
+
+    // ---- what a processor shows
+
+    /** Whether a processor may get one more set-up: by roster, budget, failures, named wait and set-up time. */
+    private boolean open(long now, Far far, long target, double press) {
+        if (now < far.holdUntil || !withinBudget(now, far)) {
+            return false;
+        }
+        if (far.failures >= FAILURES) {
+            return now >= far.trialAt && far.settingUp.isEmpty();
+        }
+        return seemsToTake(now, far) <= press * target;
+    }
+
+    /** The longer of the age of the oldest unanswered INVITE and the last set-up time, while that is news. */
+    private static long seemsToTake(long now, Far far) {
+        long age = 0;
+        for (Invite oldest : far.settingUp.values()) {
+            age = now - oldest.sentAt;
+            break;
+        }
+        return now - far.lastAt < NEWS_FRESH ? Math.max(age, far.lastTook) : age;
+    }
+
+    /** Rule 4: this router's part of what a fresh exchange can bear, per window, and a cap that answers raise. */
+    private boolean withinBudget(long now, Far far) {
+        if (far.since <= 0 || now - far.since >= warmUp) {
+            return true;
+        }
+        double rate = ownLoad.sum(now) / Math.max(1, Math.min(RATE_WINDOW, now - started)) * 1e6;
+        double budget = coldBudget * rate / Math.max(1, routers - 1);
+        return far.settingUp.size() < far.cap && far.sends.sum(now) + 1 <= Math.max(1, budget);
+    }
+
+    private void settled(long now, long session, Held it, Ending ending, Cause cause, long took, long namedWait) {
+        Far far = it.invite.far;
+        boolean wasSettingUp = far.settingUp.remove(session) != null;
+        boolean answered = ending == Ending.STANDS || ending == Ending.BUSY || ending == Ending.ERROR;
+        if (answered && wasSettingUp) {
+            far.failures = 0;
+            far.cap++;
+            far.lastTook = took;
+            far.lastAt = now;
+        } else if (wasSettingUp && (ending == Ending.TIMED_OUT || ending == Ending.UNREACHABLE
+                || ending == Ending.RESET)) {
+            far.failures++;
+            long wait = TRIAL_FIRST << Math.min(8, Math.max(0, far.failures - FAILURES));
+            far.trialAt = now + Math.min(TRIAL_LONGEST, wait);
+        }
+        if (cause == Cause.PROCESSOR_FULL && ending == Ending.BUSY) {
+            far.holdUntil = now + (namedWait > 0 ? namedWait : FULL_HOLD);
+        }
+        if (cause == Cause.TURNED_BACK || cause == Cause.FULL_BEYOND) {
+            far.group.turnedBack.put(it.session.farEnd(), now + TURNED_BACK_HOLD);
+        }
+    }
+
+    private Far ready(int number) {
+        Group group = groups.get(number);
+        return group == null ? null : ready(group);
+    }
+
+    /** The machine that serves a number now: the ready one started last. */
+    private Far ready(Group group) {
+        Far best = null;
+        for (Far far : exchanges.values()) {
+            if (far.group == group && far.ready && (best == null || far.since > best.since)) {
+                best = far;
+            }
+        }
+        return best;
+    }
+}
