--- a/src/main/java/coralcove/Choice.java
+++ b/src/main/java/coralcove/Choice.java
@@ -381,6 +381,8 @@
         boolean hopeless = cause == Cause.FULL_BEYOND || cause == Cause.LINES_BUSY
                 || far.number == it.session.farEnd() && ending != Ending.NOT_SENT
                 || Math.max(now, it.notBefore) > it.session.arrived() + service.target
+                // A redial may be left less time than the release wait: waiting would lose its answer.
+                || Math.max(now, it.notBefore) + TOO_LATE > it.session.limit()
                 || it.session.transit();
         if (hopeless) {
             return refuse(now, it, ready(it.session.farEnd()));
