Take a leg of a two-group session only while its group is roomy

Cause: each leg of an alternative call was tested as direct, so overflow took circuits from direct sessions.

--- a/src/main/java/coralcove/Choice.java
+++ b/src/main/java/coralcove/Choice.java
@@ -309,6 +309,9 @@
         if (!open(now, direct, service.target, service.press)) {
             return refuse(now, it, direct);
         }
+        if (session.transit() && !roomy(direct.group)) {
+            return refuse(now, it, direct);
+        }
         return switch (test(now, direct.group, session)) {
             case PASS -> send(now, it, direct);
             case KEPT_BACK -> refuse(now, it, direct);
@@ -326,7 +329,8 @@
             Far far = group == direct.group ? null : ready(group);
             if (far == null || far.number == ownNumber || it.tried.contains(far) || !allowed(service, far)
                     || group.turnedBack.getOrDefault(direct.number, 0L) > now
-                    || !open(now, far, service.target, PRESS_TANDEM) || test(now, group, session) != Test.PASS) {
+                    || !open(now, far, service.target, PRESS_TANDEM) || !roomy(group)
+                    || test(now, group, session) != Test.PASS) {
                 continue;
             }
             double slope = slope(group, session);
@@ -400,8 +404,7 @@
             refresh(now, group);
         }
         Load load = group.loads[session.service()];
-        boolean roomy = group.free >= FREE_SHARE * group.size && group.free >= FREE_WIDTHS * widest;
-        if (roomy || !load.aimed) {
+        if (roomy(group) || !load.aimed) {
             return Test.PASS;
         }
         if (load.c0 <= 0) {
@@ -415,6 +418,10 @@
         return load.standing / load.c0 <= bound ? Test.PASS : Test.KEPT_BACK;
     }
 
+    private boolean roomy(Group group) {
+        return group.free >= FREE_SHARE * group.size && group.free >= FREE_WIDTHS * widest;
+    }
+
     /** The logarithm of the penalty's slope along x: low where one more call weighs least. */
     private static double slope(Group group, Session session) {
         Load load = group.loads[session.service()];
