Make marked redials a class of their own, at late value

Cause: a redial can only stand past the post-dial target, yet took circuits and set-ups like a first try. May harm where redials come within the target.

--- a/src/main/java/coralcove/Choice.java
+++ b/src/main/java/coralcove/Choice.java
@@ -72,9 +72,9 @@
     private long started = -1;
     private boolean subscribeDue;
 
-    /** What a service is to the decisions. */
-    private record Service(long target, double value, int width, long hold, boolean repeatable, int rank,
-            double press, List<Integer> pools) {}
+    /** What a class is to the decisions: class 2n is service n at its first try, 2n + 1 its redials. */
+    private record Service(long target, double worth, int width, long hold, boolean repeatable, double press,
+            List<Integer> pools) {}
 
     /** One service on one group: standing calls x, phantom calls y, and the targets of the last refresh. */
     private static final class Load {
@@ -162,29 +162,37 @@
         subscribeDue = subscribes;
         List<Settings.Service> given = settings.services();
         byWorth = order(given);
-        services = new Service[given.size()];
+        services = new Service[2 * given.size()];
         int most = 1;
-        for (int rank = 0; rank < byWorth.length; rank++) {
-            Settings.Service it = given.get(byWorth[rank]);
-            double press = rank == 0 && byWorth.length > 1 ? PRESS_HIGH : PRESS_LOW;
-            services[byWorth[rank]] = new Service(it.target(), it.value(), it.width(), it.hold(), it.repeatable(),
-                    rank, press, it.pools());
+        for (int i = 0; i < services.length; i++) {
+            Settings.Service it = given.get(i / 2);
+            services[i] = new Service(it.target(), worth(given, i), it.width(), it.hold(), it.repeatable(),
+                    i == byWorth[0] && given.size() > 1 ? PRESS_HIGH : PRESS_LOW, it.pools());
             most = Math.max(most, it.width());
         }
         widest = most;
     }
 
-    /** Services by falling value per circuit; equal ones in the order of the settings. */
+    /** Classes by falling value per circuit; equal ones in the order of the settings. */
     private static int[] order(List<Settings.Service> given) {
         List<Integer> order = new ArrayList<>();
-        for (int i = 0; i < given.size(); i++) {
+        for (int i = 0; i < 2 * given.size(); i++) {
             order.add(i);
         }
-        order.sort((a, b) -> Double.compare(given.get(b).value() / given.get(b).width(),
-                given.get(a).value() / given.get(a).width()));
+        order.sort((a, b) -> Double.compare(worth(given, b), worth(given, a)));
         return order.stream().mapToInt(Integer::intValue).toArray();
     }
 
+    /** Value per circuit of class i: a service's first tries, or its redials, which can only stand late. */
+    private static double worth(List<Settings.Service> given, int i) {
+        Settings.Service it = given.get(i / 2);
+        return it.value() / it.width() * (i % 2 == 0 ? 1 : it.lateValue());
+    }
+
+    private static int kind(Session session) {
+        return 2 * session.service() + (session.redialled() ? 1 : 0);
+    }
+
     // ---- the three questions
 
     @Override
@@ -199,7 +207,7 @@
             }
             Far far = ready(session.farEnd());
             if (far != null) {
-                far.group.loads[session.service()].calls.add(now, 1);
+                far.group.loads[kind(session)].calls.add(now, 1);
             }
         }
         return now < it.notBefore ? Answer.later(it.notBefore) : choose(now, it);
@@ -218,7 +226,7 @@
         if (ending == Ending.STANDS) {
             return Answer.NOTHING;
         }
-        far.group.loads[it.session.service()].standing--;
+        far.group.loads[kind(it.session)].standing--;
         it.invite = null;
         if (over) {
             held.remove(session);
@@ -301,7 +309,7 @@
         if (direct == null || it.sent >= inviteLimit || session.limit() - now < TOO_LATE) {
             return refuse(now, it, direct);
         }
-        Service service = services[session.service()];
+        Service service = services[kind(session)];
         if (!session.transit() && it.sent > 0) {
             return open(now, direct, service.target, service.press) ? overflow(now, it, direct)
                     : refuse(now, it, direct);
@@ -322,7 +330,7 @@
     /** A session whose direct group is full tries the tandem whose first leg passes with the least slope. */
     private Answer overflow(long now, Held it, Far direct) {
         Session session = it.session;
-        Service service = services[session.service()];
+        Service service = services[kind(session)];
         Far best = null;
         double least = Double.POSITIVE_INFINITY;
         for (Group group : groups.values()) {
@@ -342,7 +350,7 @@
         if (best == null) {
             return refuse(now, it, direct);
         }
-        best.group.loads[session.service()].calls.add(now, 1);
+        best.group.loads[kind(session)].calls.add(now, 1);
         return send(now, it, best);
     }
 
@@ -357,23 +365,23 @@
         it.sent++;
         it.tried.add(far);
         far.group.free -= session.width();
-        far.group.loads[session.service()].standing++;
+        far.group.loads[kind(session)].standing++;
         far.settingUp.put(session.id(), it.invite);
         far.sends.add(now, 1);
         long left = session.limit() - now;
-        return Answer.send(far.id, trial ? Math.min(left, services[session.service()].target) : left);
+        return Answer.send(far.id, trial ? Math.min(left, services[kind(session)].target) : left);
     }
 
     private Answer refuse(long now, Held it, Far direct) {
         held.remove(it.session.id());
         if (direct != null) {
-            direct.group.loads[it.session.service()].phantoms.add(now, 1);
+            direct.group.loads[kind(it.session)].phantoms.add(now, 1);
         }
         return Answer.refuse(comeBack);
     }
 
     private Answer again(long now, Held it, Far far, Ending ending, Cause cause) {
-        Service service = services[it.session.service()];
+        Service service = services[kind(it.session)];
         boolean ran = ending == Ending.TIMED_OUT || ending == Ending.RESET || ending == Ending.CANCELLED;
         if (ran) {
             it.notBefore = now + releaseWait;
@@ -403,7 +411,7 @@
         if (now >= group.refreshAt) {
             refresh(now, group);
         }
-        Load load = group.loads[session.service()];
+        Load load = group.loads[kind(session)];
         if (roomy(group) || !load.aimed) {
             return Test.PASS;
         }
@@ -424,7 +432,7 @@
 
     /** The logarithm of the penalty's slope along x: low where one more call weighs least. */
     private static double slope(Group group, Session session) {
-        Load load = group.loads[session.service()];
+        Load load = group.loads[kind(session)];
         if (!load.aimed || load.c0 <= 0 || group.beta <= 0) {
             return Double.NEGATIVE_INFINITY;
         }
