--- a/src/main/java/coralcove/Choice.java
+++ b/src/main/java/coralcove/Choice.java
@@ -37,9 +37,9 @@
     private static final double OTHERS_STEP = 0.05;
     // The guards' figures.
     /** Share of the post-dial target that a set-up may seem to take: less for a tandem, most for high value. */
-    private static final double PRESS_TANDEM = 0.3;
-    private static final double PRESS_LOW = 0.5;
-    private static final double PRESS_HIGH = 0.8;
+    private static final double PRESS_TANDEM = 0.2;
+    private static final double PRESS_LOW = 0.3;
+    private static final double PRESS_HIGH = 0.5;
     /** µs: an exchange's last set-up time says nothing after this; one session then finds out anew. */
     private static final long NEWS_FRESH = 1_000_000;
     /** INVITEs in a row without an answer that close an exchange: two can be chance, more costs circuits. */
@@ -502,7 +502,15 @@
         if (far.failures >= FAILURES) {
             return now >= far.trialAt && far.settingUp.isEmpty();
         }
-        return seemsToTake(now, far) <= press * target;
+        return Math.max(seemsToTake(now, far), commonTake(now)) <= press * target;
+    }
+
+    /** The median over all exchanges with news: when most seem slow it is the own processor, or all of them. */
+    private long commonTake(long now) {
+        long[] takes = exchanges.values().stream()
+                .filter(far -> !far.settingUp.isEmpty() || now - far.lastAt < NEWS_FRESH && far.lastAt > 0)
+                .mapToLong(far -> seemsToTake(now, far)).sorted().toArray();
+        return takes.length < 3 ? 0 : takes[(takes.length - 1) / 2];
     }
 
     /** The longer of the age of the oldest unanswered INVITE and the last set-up time, while that is news. */
