Pace each exchange by a window of INVITEs in flight, cut by slow set-ups

Cause: limits on the last set-up time stop and start in step with stale news. Covers slow, paused, hung and shared-out processors alike; may hold back after a long pause.

--- a/src/main/java/coralcove/Choice.java
+++ b/src/main/java/coralcove/Choice.java
@@ -36,12 +36,17 @@
     /** Part of each new reading that enters the mean of others' circuits: some tens of changes, a few seconds. */
     private static final double OTHERS_STEP = 0.05;
     // The guards' figures.
-    /** Share of the post-dial target that a set-up may seem to take: less for a tandem, most for high value. */
-    private static final double PRESS_TANDEM = 0.2;
-    private static final double PRESS_LOW = 0.3;
-    private static final double PRESS_HIGH = 0.5;
-    /** µs: an exchange's last set-up time says nothing after this; one session then finds out anew. */
-    private static final long NEWS_FRESH = 1_000_000;
+    /** Share of the post-dial target past which a set-up counts as slow: half is left for the way and the other end. */
+    private static final double SLOW = 0.4;
+    /** Share of an exchange's window open to a tandem's leg, to low value and to the highest. */
+    private static final double PRESS_TANDEM = 0.4;
+    private static final double PRESS_LOW = 0.75;
+    private static final double PRESS_HIGH = 1;
+    /** INVITEs in flight to one exchange: to start with, and the most; above this it is never the limit. */
+    private static final double WINDOW_FIRST = 4;
+    private static final double WINDOW_MOST = 32;
+    /** What a slow answer leaves of the window. */
+    private static final double WINDOW_CUT = 0.7;
     /** INVITEs in a row without an answer that close an exchange: two can be chance, more costs circuits. */
     private static final int FAILURES = 3;
     /** µs: a closed exchange's first wait for a trial, and the longest; near the length of a short stall. */
@@ -127,8 +132,8 @@
         long trialAt;
         long holdUntil;
         int cap;
-        long lastTook;
-        long lastAt;
+        double window = WINDOW_FIRST;
+        long cutAt;
 
         Far(long id, int number, Group group, Ring sends) {
             this.id = id;
@@ -502,25 +507,17 @@
         if (far.failures >= FAILURES) {
             return now >= far.trialAt && far.settingUp.isEmpty();
         }
-        return Math.max(seemsToTake(now, far), commonTake(now)) <= press * target;
+        return far.settingUp.size() < Math.max(1, far.window * press);
     }
 
-    /** The median over all exchanges with news: when most seem slow it is the own processor, or all of them. */
-    private long commonTake(long now) {
-        long[] takes = exchanges.values().stream()
-                .filter(far -> !far.settingUp.isEmpty() || now - far.lastAt < NEWS_FRESH && far.lastAt > 0)
-                .mapToLong(far -> seemsToTake(now, far)).sorted().toArray();
-        return takes.length < 3 ? 0 : takes[(takes.length - 1) / 2];
-    }
-
-    /** The longer of the age of the oldest unanswered INVITE and the last set-up time, while that is news. */
-    private static long seemsToTake(long now, Far far) {
-        long age = 0;
-        for (Invite oldest : far.settingUp.values()) {
-            age = now - oldest.sentAt;
-            break;
+    /** Grows by one for a window of quick answers, and is cut once for a window of slow ones. */
+    private static void pace(long now, Far far, Invite invite, boolean quick) {
+        if (quick) {
+            far.window = Math.min(WINDOW_MOST, far.window + 1 / far.window);
+        } else if (invite.sentAt >= far.cutAt) {
+            far.window = Math.max(1, far.window * WINDOW_CUT);
+            far.cutAt = now;
         }
-        return now - far.lastAt < NEWS_FRESH ? Math.max(age, far.lastTook) : age;
     }
 
     /** Rule 4: this router's part of what a fresh exchange can bear, per window, and a cap that answers raise. */
@@ -540,11 +537,11 @@
         if (answered && wasSettingUp) {
             far.failures = 0;
             far.cap++;
-            far.lastTook = took;
-            far.lastAt = now;
+            pace(now, far, it.invite, took < SLOW * services[kind(it.session)].target);
         } else if (wasSettingUp && (ending == Ending.TIMED_OUT || ending == Ending.UNREACHABLE
                 || ending == Ending.RESET)) {
             far.failures++;
+            pace(now, far, it.invite, false);
             long wait = TRIAL_FIRST << Math.min(8, Math.max(0, far.failures - FAILURES));
             far.trialAt = now + Math.min(TRIAL_LONGEST, wait);
         }
