--- a/src/main/java/coralcove/Choice.java
+++ b/src/main/java/coralcove/Choice.java
@@ -537,7 +537,11 @@
         if (answered && wasSettingUp) {
             far.failures = 0;
             far.cap++;
-            pace(now, far, it.invite, took < SLOW * services[kind(it.session)].target);
+            // A busy reply is quick and says nothing good: a full processor must not widen its own window.
+            if (ending == Ending.STANDS || cause == Cause.PROCESSOR_FULL) {
+                boolean quick = ending == Ending.STANDS && took < SLOW * services[kind(it.session)].target;
+                pace(now, far, it.invite, quick);
+            }
         } else if (wasSettingUp && (ending == Ending.TIMED_OUT || ending == Ending.UNREACHABLE
                 || ending == Ending.RESET)) {
             far.failures++;
