--- a/src/main/java/coralcove/Choice.java
+++ b/src/main/java/coralcove/Choice.java
@@ -45,6 +45,10 @@
     /** INVITEs in flight to one exchange: to start with, and the most; above this it is never the limit. */
     private static final double WINDOW_FIRST = 4;
     private static final double WINDOW_MOST = 32;
+    /** The same for all INVITEs in flight from here, which all pass the own processor. */
+    private static final double OWN_FIRST = 16;
+    private static final double OWN_MOST = 64;
+    private static final double OWN_CUT = 0.85;
     /** What a slow answer leaves of the window. */
     private static final double WINDOW_CUT = 0.7;
     /** INVITEs in a row without an answer that close an exchange: two can be chance, more costs circuits. */
@@ -80,6 +84,9 @@
     private final Map<Long, Far> exchanges = new LinkedHashMap<>();
     private final TreeMap<Integer, Group> groups = new TreeMap<>();
     private final Map<Long, Held> held = new HashMap<>();
+    private int inFlight;
+    private double ownWindow = OWN_FIRST;
+    private long ownCutAt;
     private long started = -1;
     private boolean subscribeDue;
 
@@ -390,6 +397,7 @@
         far.group.free -= session.width();
         far.group.loads[kind(session)].standing++;
         far.settingUp.put(session.id(), it.invite);
+        inFlight++;
         far.sends.add(now, 1);
         long left = session.limit() - now;
         return Answer.send(far.id, trial ? Math.min(left, services[kind(session)].target) : left);
@@ -507,11 +515,18 @@
         if (far.failures >= FAILURES) {
             return now >= far.trialAt && far.settingUp.isEmpty();
         }
-        return far.settingUp.size() < Math.max(1, far.window * press);
+        return far.settingUp.size() < Math.max(1, far.window * press)
+                && inFlight < Math.max(1, ownWindow * press);
     }
 
     /** Grows by one for a window of quick answers, and is cut once for a window of slow ones. */
-    private static void pace(long now, Far far, Invite invite, boolean quick) {
+    private void pace(long now, Far far, Invite invite, boolean quick) {
+        if (quick) {
+            ownWindow = Math.min(OWN_MOST, ownWindow + 1 / ownWindow);
+        } else if (invite.sentAt >= ownCutAt) {
+            ownWindow = Math.max(2, ownWindow * OWN_CUT);
+            ownCutAt = now;
+        }
         if (quick) {
             far.window = Math.min(WINDOW_MOST, far.window + 1 / far.window);
         } else if (invite.sentAt >= far.cutAt) {
@@ -533,6 +548,7 @@
     private void settled(long now, long session, Held it, Ending ending, Cause cause, long took, long namedWait) {
         Far far = it.invite.far;
         boolean wasSettingUp = far.settingUp.remove(session) != null;
+        inFlight -= wasSettingUp ? 1 : 0;
         boolean answered = ending == Ending.STANDS || ending == Ending.BUSY || ending == Ending.ERROR;
         if (answered && wasSettingUp) {
             far.failures = 0;
