--- a/src/main/java/coralcove/Choice.java
+++ b/src/main/java/coralcove/Choice.java
@@ -87,6 +87,7 @@
     private int inFlight;
     private double ownWindow = OWN_FIRST;
     private long ownCutAt;
+    private Far lastSlow;
     private long started = -1;
     private boolean subscribeDue;
 
@@ -523,9 +524,11 @@
     private void pace(long now, Far far, Invite invite, boolean quick) {
         if (quick) {
             ownWindow = Math.min(OWN_MOST, ownWindow + 1 / ownWindow);
-        } else if (invite.sentAt >= ownCutAt) {
-            ownWindow = Math.max(2, ownWindow * OWN_CUT);
+        } else if (lastSlow != far && invite.sentAt >= ownCutAt) {
+            // One hung or slow exchange must not close the way to the others: slowness at two in turn does.
+            ownWindow = lastSlow == null ? ownWindow : Math.max(2, ownWindow * OWN_CUT);
             ownCutAt = now;
+            lastSlow = far;
         }
         if (quick) {
             far.window = Math.min(WINDOW_MOST, far.window + 1 / far.window);
