Ask callers back after 0.4 of the post-dial target instead of the longest wait

Cause: with the longest come-back every redial comes past its target, so it earns a tenth and costs a late failure.

--- a/src/main/java/coralcove/Choice.java
+++ b/src/main/java/coralcove/Choice.java
@@ -64,6 +64,8 @@
     private static final int FRESH_CAP = 2;
     /** Share of a fresh exchange's budget that is used, since its speed is guessed from other loads. */
     private static final double COLD_SHARE = 0.9;
+    /** Share of the post-dial target after which a caller is asked to come back, so that a try may still stand in time. */
+    private static final double COME_BACK = 0.4;
     /** µs: less than this before its timer limit a session is not sent any more; a set-up takes longer. */
     private static final long TOO_LATE = 100_000;
 
@@ -409,7 +411,7 @@
         if (direct != null) {
             direct.group.loads[kind(it.session)].phantoms.add(now, 1);
         }
-        return Answer.refuse(comeBack);
+        return Answer.refuse(Math.min(comeBack, (long) (COME_BACK * services[kind(it.session)].target)));
     }
 
     private Answer again(long now, Held it, Far far, Ending ending, Cause cause) {
