--- a/src/main/java/coralcove/Choice.java
+++ b/src/main/java/coralcove/Choice.java
@@ -26,8 +26,8 @@
     /** Share of a group, and multiples of the widest service, that free must exceed to take anything (design). */
     private static final double FREE_SHARE = 0.2;
     private static final int FREE_WIDTHS = 2;
-    /** Share of a group that must be free to take any first try of an own caller. */
-    private static final double FREE_FIRST = 0.06;
+    /** The same share for an own caller's session: the slack of the targets must not keep circuits empty. */
+    private static final double FREE_OWN = 0.06;
     /** Buckets of the rings of load and of phantoms: steps of half a second and of a hold's thirtieth. */
     private static final int LOAD_BUCKETS = 20;
     private static final int PHANTOM_BUCKETS = 30;
@@ -446,8 +446,8 @@
             refresh(now, group);
         }
         Load load = group.loads[kind(session)];
-        if (roomy(group) || !load.aimed || !session.redialled() && !session.transit()
-                && group.free >= FREE_FIRST * group.size) {
+        boolean room = session.transit() ? roomy(group) : group.free >= FREE_OWN * group.size;
+        if (room || !load.aimed) {
             return Test.PASS;
         }
         if (load.c0 <= 0) {
