--- a/src/main/java/coralcove/Choice.java
+++ b/src/main/java/coralcove/Choice.java
@@ -211,8 +211,9 @@
         return it.value() / it.width() * (i % 2 == 0 ? 1 : it.lateValue());
     }
 
+    /** A session that was cut and comes again can still earn its whole value: it counts as a first try. */
     private static int kind(Session session) {
-        return 2 * session.service() + (session.redialled() ? 1 : 0);
+        return 2 * session.service() + (session.redialled() && !session.cut() ? 1 : 0);
     }
 
     // ---- the three questions
@@ -424,7 +425,9 @@
             held.remove(it.session.id());
             return Answer.FAIL;
         }
-        boolean hopeless = cause == Cause.FULL_BEYOND || cause == Cause.LINES_BUSY
+        // The own processor down: every INVITE comes back at once, so a session would spend them all in one moment.
+        boolean ownDown = ending == Ending.NOT_SENT && cause == Cause.PROCESSOR_FULL;
+        boolean hopeless = ownDown || cause == Cause.FULL_BEYOND || cause == Cause.LINES_BUSY
                 || far.number == it.session.farEnd() && ending != Ending.NOT_SENT
                 || Math.max(now, it.notBefore) > it.session.arrived() + service.target
                 // A redial may be left less time than the release wait: waiting would lose its answer.
--- a/src/main/java/coralcove/Session.java
+++ b/src/main/java/coralcove/Session.java
@@ -5,4 +5,4 @@
  * {@code farEnd} is its only way on. {@code limit} is the moment its caller stops waiting.
  */
 public record Session(long id, int service, int tenant, int farEnd, int width, int advice, boolean transit,
-        boolean redialled, long arrived, long limit) {}
+        boolean redialled, boolean cut, long arrived, long limit) {}
