Remember callers' first tries; what can only stand late gets less room and the latest come-back

Cause: redials within the post-dial target were classed as late, and late ones took room and set-ups from first tries. May misjudge two callers of one number within 10 s.

--- a/src/main/java/coralcove/Choice.java
+++ b/src/main/java/coralcove/Choice.java
@@ -4,6 +4,7 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -38,8 +39,9 @@
     // The guards' figures.
     /** Share of the post-dial target past which a set-up counts as slow: half is left for the way and the other end. */
     private static final double SLOW = 0.4;
-    /** Share of an exchange's window open to a tandem's leg, to low value and to the highest. */
+    /** Share of an exchange's window open to a tandem's leg, to what stands late, to low value and to the highest. */
     private static final double PRESS_TANDEM = 0.4;
+    private static final double PRESS_LATE = 0.4;
     private static final double PRESS_LOW = 0.75;
     private static final double PRESS_HIGH = 1;
     /** INVITEs in flight to one exchange: to start with, and the most; above this it is never the limit. */
@@ -66,6 +68,10 @@
     private static final double COLD_SHARE = 0.9;
     /** Share of the post-dial target after which a caller is asked to come back, so that a try may still stand in time. */
     private static final double COME_BACK = 0.4;
+    /** Share of the post-dial target, since a caller's first try, past which a set-up would end late. */
+    private static final double LATE_SHARE = 0.8;
+    /** µs: how long a caller's first try is remembered: longer than callers go on trying. */
+    private static final long MEMORY = 10_000_000;
     /** µs: less than this before its timer limit a session is not sent any more; a set-up takes longer. */
     private static final long TOO_LATE = 100_000;
 
@@ -90,6 +96,7 @@
     private double ownWindow = OWN_FIRST;
     private long ownCutAt;
     private Far lastSlow;
+    private final LinkedHashMap<Long, Long> firstTries = new LinkedHashMap<>();
     private long started = -1;
     private boolean subscribeDue;
 
@@ -158,13 +165,15 @@
     /** A session in hand, until nothing more can come for it. */
     private static final class Held {
         final Session session;
+        final int kind;
         Invite invite;
         int sent;
         long notBefore;
         final List<Far> tried = new ArrayList<>();
 
-        Held(Session session) {
+        Held(Session session, int kind) {
             this.session = session;
+            this.kind = kind;
         }
     }
 
@@ -189,7 +198,7 @@
         for (int i = 0; i < services.length; i++) {
             Settings.Service it = given.get(i / 2);
             services[i] = new Service(it.target(), worth(given, i), it.width(), it.hold(), it.repeatable(),
-                    i == byWorth[0] && given.size() > 1 ? PRESS_HIGH : PRESS_LOW, it.pools());
+                    i % 2 == 1 ? PRESS_LATE : i == byWorth[0] && given.size() > 1 ? PRESS_HIGH : PRESS_LOW, it.pools());
             most = Math.max(most, it.width());
         }
         widest = most;
@@ -211,9 +220,26 @@
         return it.value() / it.width() * (i % 2 == 0 ? 1 : it.lateValue());
     }
 
-    /** A session that was cut and comes again can still earn its whole value: it counts as a first try. */
-    private static int kind(Session session) {
-        return 2 * session.service() + (session.redialled() && !session.cut() ? 1 : 0);
+    /**
+     * The class of a session: odd when it can only stand late. A try remembered by the number called tells when
+     * its caller first came; without that memory a marked redial counts as late, unless it was cut and comes again.
+     */
+    private int kind(long now, Session session) {
+        Long first = session.transit() ? null : firstTries.get(session.number());
+        boolean late = first == null ? session.redialled() && !session.cut()
+                : now > first + LATE_SHARE * services[2 * session.service()].target;
+        return 2 * session.service() + (late ? 1 : 0);
+    }
+
+    private void remember(long now, Held it) {
+        Session session = it.session;
+        if (!session.transit() && session.number() != 0) {
+            firstTries.putIfAbsent(session.number(), session.arrived());
+            Iterator<Long> oldest = firstTries.values().iterator();
+            while (now - oldest.next() > MEMORY) {
+                oldest.remove();
+            }
+        }
     }
 
     // ---- the three questions
@@ -223,14 +249,14 @@
         begin(now);
         Held it = held.get(session.id());
         if (it == null) {
-            it = new Held(session);
+            it = new Held(session, kind(now, session));
             held.put(session.id(), it);
             if (!session.transit()) {
                 ownLoad.add(now, 1);
             }
             Far far = ready(session.farEnd());
             if (far != null) {
-                far.group.loads[kind(session)].calls.add(now, 1);
+                far.group.loads[it.kind].calls.add(now, 1);
             }
         }
         return now < it.notBefore ? Answer.later(it.notBefore) : choose(now, it);
@@ -249,7 +275,7 @@
         if (ending == Ending.STANDS) {
             return Answer.NOTHING;
         }
-        far.group.loads[kind(it.session)].standing--;
+        far.group.loads[it.kind].standing--;
         it.invite = null;
         if (over) {
             held.remove(session);
@@ -343,7 +369,7 @@
         if (direct == null || it.sent >= inviteLimit || session.limit() - now < TOO_LATE) {
             return refuse(now, it, direct);
         }
-        Service service = services[kind(session)];
+        Service service = services[it.kind];
         if (!session.transit() && it.sent > 0) {
             return open(now, direct, service.target, service.press) ? overflow(now, it, direct)
                     : refuse(now, it, direct);
@@ -354,7 +380,7 @@
         if (session.transit() && !roomy(direct.group)) {
             return refuse(now, it, direct);
         }
-        return switch (test(now, direct.group, session)) {
+        return switch (test(now, direct.group, it)) {
             case PASS -> send(now, it, direct);
             case KEPT_BACK -> refuse(now, it, direct);
             case FULL -> session.transit() ? refuse(now, it, direct) : overflow(now, it, direct);
@@ -364,7 +390,7 @@
     /** A session whose direct group is full tries the tandem whose first leg passes with the least slope. */
     private Answer overflow(long now, Held it, Far direct) {
         Session session = it.session;
-        Service service = services[kind(session)];
+        Service service = services[it.kind];
         Far best = null;
         double least = Double.POSITIVE_INFINITY;
         for (Group group : groups.values()) {
@@ -372,10 +398,10 @@
             if (far == null || far.number == ownNumber || it.tried.contains(far) || !allowed(service, far)
                     || group.turnedBack.getOrDefault(direct.number, 0L) > now
                     || !open(now, far, service.target, PRESS_TANDEM) || !roomy(group)
-                    || test(now, group, session) != Test.PASS) {
+                    || test(now, group, it) != Test.PASS) {
                 continue;
             }
-            double slope = slope(group, session);
+            double slope = slope(group, it);
             if (slope < least) {
                 least = slope;
                 best = far;
@@ -384,7 +410,7 @@
         if (best == null) {
             return refuse(now, it, direct);
         }
-        best.group.loads[kind(session)].calls.add(now, 1);
+        best.group.loads[it.kind].calls.add(now, 1);
         return send(now, it, best);
     }
 
@@ -399,30 +425,34 @@
         it.sent++;
         it.tried.add(far);
         far.group.free -= session.width();
-        far.group.loads[kind(session)].standing++;
+        far.group.loads[it.kind].standing++;
         far.settingUp.put(session.id(), it.invite);
         inFlight++;
         far.sends.add(now, 1);
         long left = session.limit() - now;
-        return Answer.send(far.id, trial ? Math.min(left, services[kind(session)].target) : left);
+        return Answer.send(far.id, trial ? Math.min(left, services[it.kind].target) : left);
     }
 
     private Answer refuse(long now, Held it, Far direct) {
         held.remove(it.session.id());
+        remember(now, it);
         if (direct != null) {
-            direct.group.loads[kind(it.session)].phantoms.add(now, 1);
+            direct.group.loads[it.kind].phantoms.add(now, 1);
         }
-        return Answer.refuse(Math.min(comeBack, (long) (COME_BACK * services[kind(it.session)].target)));
+        // What can only stand late may as well come late: looking at each try is work for a pressed processor.
+        long wait = it.kind % 2 == 0 ? (long) (COME_BACK * services[it.kind].target) : comeBack;
+        return Answer.refuse(Math.min(comeBack, wait));
     }
 
     private Answer again(long now, Held it, Far far, Ending ending, Cause cause) {
-        Service service = services[kind(it.session)];
+        Service service = services[it.kind];
         boolean ran = ending == Ending.TIMED_OUT || ending == Ending.RESET || ending == Ending.CANCELLED;
         if (ran) {
             it.notBefore = now + releaseWait;
         }
         if ((ran || ending == Ending.ERROR) && !service.repeatable) {
             held.remove(it.session.id());
+            remember(now, it);
             return Answer.FAIL;
         }
         // The own processor down: every INVITE comes back at once, so a session would spend them all in one moment.
@@ -441,15 +471,17 @@
 
     // ---- the penalty test
 
-    private Test test(long now, Group group, Session session) {
+    private Test test(long now, Group group, Held it) {
+        Session session = it.session;
         if (group.free < session.width()) {
             return Test.FULL;
         }
         if (now >= group.refreshAt) {
             refresh(now, group);
         }
-        Load load = group.loads[kind(session)];
-        boolean room = session.transit() ? roomy(group) : group.free >= FREE_OWN * group.size;
+        Load load = group.loads[it.kind];
+        boolean room = session.transit() || it.kind % 2 == 1 ? roomy(group)
+                : group.free >= FREE_OWN * group.size;
         if (room || !load.aimed) {
             return Test.PASS;
         }
@@ -469,12 +501,12 @@
     }
 
     /** The logarithm of the penalty's slope along x: low where one more call weighs least. */
-    private static double slope(Group group, Session session) {
-        Load load = group.loads[kind(session)];
+    private static double slope(Group group, Held it) {
+        Load load = group.loads[it.kind];
         if (!load.aimed || load.c0 <= 0 || group.beta <= 0) {
             return Double.NEGATIVE_INFINITY;
         }
-        double per = group.beta * session.width() / load.c0;
+        double per = group.beta * it.session.width() / load.c0;
         return Math.log(per) + per * load.standing;
     }
 
@@ -563,7 +595,7 @@
             far.cap++;
             // A busy reply is quick and says nothing good: a full processor must not widen its own window.
             if (ending == Ending.STANDS || cause == Cause.PROCESSOR_FULL) {
-                boolean quick = ending == Ending.STANDS && took < SLOW * services[kind(it.session)].target;
+                boolean quick = ending == Ending.STANDS && took < SLOW * services[it.kind].target;
                 pace(now, far, it.invite, quick);
             }
         } else if (wasSettingUp && (ending == Ending.TIMED_OUT || ending == Ending.UNREACHABLE
--- a/src/main/java/coralcove/drill/Line.java
+++ b/src/main/java/coralcove/drill/Line.java
@@ -86,7 +86,7 @@
         long now = up(clock);
         long limit = Math.floorDiv(clock + event.i64(18), 1000L);
         Session session = new Session(event.u32(3), event.u8(7), event.u16(8), (int) event.f32(34),
-                (int) event.f32(38), (int) event.f32(42), (flags & 8) != 0, (flags & 2) != 0, (flags & 16) != 0, now, limit);
+                (int) event.f32(38), (int) event.f32(42), (flags & 8) != 0, event.i64(10), (flags & 2) != 0, (flags & 16) != 0, now, limit);
         sessions.put(session.id(), session);
         carryOut(session, router.route(now, session), clock, reply);
     }
