Add trace tests of the mechanism, the five rules and the wire's frames; fold the cap into the window

A fresh exchange starts with a window of two INVITEs that its answers widen, in place of a cap beside the window.

--- a/src/main/java/coralcove/Answer.java
+++ b/src/main/java/coralcove/Answer.java
@@ -1,6 +1,6 @@
 package coralcove;
 
-/** What is to be done with a session: {@code time} is the INVITE's own limit, the moment to ask again, or a come-back. */
+/** What to do with a session; {@code time} is the INVITE's limit, the moment to ask again, or a come-back. */
 public record Answer(Kind kind, long exchange, long time) {
     public enum Kind { SEND, LATER, REFUSE, FAIL, NOTHING }
 
--- a/src/main/java/coralcove/Choice.java
+++ b/src/main/java/coralcove/Choice.java
@@ -13,8 +13,8 @@
 
 /**
  * All decisions of one call router. The interface, and how it is called, is in CallRouter.java: route() for a
- * new session or one whose "later" is due, after() for each news of an INVITE, waiting() when a round is done;
- * the rest tell facts. One object serves one exchange's router, on one thread, with no clock or wire of its own.
+ * new session or one whose "later" is due, after() for news of an INVITE, waiting() when a round is done; the
+ * rest tell facts. One object serves one exchange's router, on one thread, with no clock or wire of its own.
  */
 public final class Choice implements CallRouter {
     // The design's figures.
@@ -24,7 +24,7 @@
     private static final long RATE_WINDOW = 10_000_000;
     /** µs: age at which a group's targets are worked out anew (design). */
     private static final long REFRESH = 5_000_000;
-    /** Share of a group, and multiples of the widest service, that free must exceed to take anything (design). */
+    /** Share of a group, and multiples of the widest service, that must be free to take anything (design). */
     private static final double FREE_SHARE = 0.2;
     private static final int FREE_WIDTHS = 2;
     /** The same share for an own caller's session: the slack of the targets must not keep circuits empty. */
@@ -34,12 +34,12 @@
     private static final int PHANTOM_BUCKETS = 30;
     /** Least steepness of the test: below it, small groups take a class wholly or not at all. */
     private static final double BETA_LEAST = 4;
-    /** Part of each new reading that enters the mean of others' circuits: some tens of changes, a few seconds. */
+    /** Part of each reading that enters the mean of others' circuits: some tens of changes, a few seconds. */
     private static final double OTHERS_STEP = 0.05;
     // The guards' figures.
-    /** Share of the post-dial target past which a set-up counts as slow: half is left for the way and the other end. */
+    /** Share of the post-dial target past which a set-up is slow: the rest is for what queues up then. */
     private static final double SLOW = 0.4;
-    /** Share of an exchange's window open to a tandem's leg, to what stands late, to low value and to the highest. */
+    /** Share of a window open to a tandem's leg, to what stands late, to low value and to the highest. */
     private static final double PRESS_TANDEM = 0.4;
     private static final double PRESS_LATE = 0.4;
     private static final double PRESS_LOW = 0.75;
@@ -62,11 +62,11 @@
     private static final long FULL_HOLD = 300_000;
     /** µs: a tandem that turned a session back is not asked for that far end for this long. */
     private static final long TURNED_BACK_HOLD = 1_000_000;
-    /** In-flight sessions a fresh exchange starts with; each answer allows one more. */
-    private static final int FRESH_CAP = 2;
+    /** INVITEs in flight to a fresh exchange, to start with; its answers widen this like any window. */
+    private static final double FRESH_WINDOW = 2;
     /** Share of a fresh exchange's budget that is used, since its speed is guessed from other loads. */
     private static final double COLD_SHARE = 0.9;
-    /** Share of the post-dial target after which a caller is asked to come back, so that a try may still stand in time. */
+    /** Share of the post-dial target after which a caller is asked back, to have a try left in time. */
     private static final double COME_BACK = 0.4;
     /** Share of the post-dial target, since a caller's first try, past which a set-up would end late. */
     private static final double LATE_SHARE = 0.8;
@@ -148,7 +148,6 @@
         int failures;
         long trialAt;
         long holdUntil;
-        int cap;
         double window = WINDOW_FIRST;
         long cutAt;
 
@@ -198,7 +197,8 @@
         for (int i = 0; i < services.length; i++) {
             Settings.Service it = given.get(i / 2);
             services[i] = new Service(it.target(), worth(given, i), it.width(), it.hold(), it.repeatable(),
-                    i % 2 == 1 ? PRESS_LATE : i == byWorth[0] && given.size() > 1 ? PRESS_HIGH : PRESS_LOW, it.pools());
+                    i % 2 == 1 ? PRESS_LATE : i == byWorth[0] && given.size() > 1 ? PRESS_HIGH : PRESS_LOW,
+                    it.pools());
             most = Math.max(most, it.width());
         }
         widest = most;
@@ -221,8 +221,8 @@
     }
 
     /**
-     * The class of a session: odd when it can only stand late. A try remembered by the number called tells when
-     * its caller first came; without that memory a marked redial counts as late, unless it was cut and comes again.
+     * The class of a session: odd when it can only stand late. A try remembered by the number called tells
+     * when its caller first came; without it a marked redial is late, unless it was cut and comes again.
      */
     private int kind(long now, Session session) {
         Long first = session.transit() ? null : firstTries.get(session.number());
@@ -263,8 +263,8 @@
     }
 
     @Override
-    public Answer after(long now, long session, Ending ending, Cause cause, long exchange, long took, long namedWait,
-            boolean over) {
+    public Answer after(long now, long session, Ending ending, Cause cause, long exchange, long took,
+            long namedWait, boolean over) {
         begin(now);
         Held it = held.get(session);
         if (it == null || it.invite == null) {
@@ -301,13 +301,14 @@
             exchanges.values().forEach(far -> far.ready = false);
         }
         for (Exchange each : list) {
-            Far far = exchanges.computeIfAbsent(each.id(), id -> new Far(id, each.number(),
-                    groups.computeIfAbsent(each.number(), n -> new Group(services)), new Ring(fallWindow, 8)));
+            Group group = groups.computeIfAbsent(each.number(), n -> new Group(services));
+            Far far = exchanges.computeIfAbsent(each.id(),
+                    id -> new Far(id, each.number(), group, new Ring(fallWindow * 9 / 8, 9)));
             far.ready = each.phase() == READY;
             if (far.since != each.since()) {
                 far.since = each.since();
                 far.failures = 0;
-                far.cap = FRESH_CAP;
+                far.window = FRESH_WINDOW;
             }
         }
     }
@@ -327,7 +328,7 @@
         }
     }
 
-    /** Circuits the far end and its sessions in transit hold, smoothed; what they leave is this router's to aim at. */
+    /** The circuits others hold, smoothed; what they leave is this router's to aim at. */
     private void shareOut(Group group) {
         double others = group.size - group.free;
         for (int i = 0; i < services.length; i++) {
@@ -439,7 +440,7 @@
         if (direct != null) {
             direct.group.loads[it.kind].phantoms.add(now, 1);
         }
-        // What can only stand late may as well come late: looking at each try is work for a pressed processor.
+        // What can only stand late may as well come late: each try is work for a pressed processor.
         long wait = it.kind % 2 == 0 ? (long) (COME_BACK * services[it.kind].target) : comeBack;
         return Answer.refuse(Math.min(comeBack, wait));
     }
@@ -455,7 +456,7 @@
             remember(now, it);
             return Answer.FAIL;
         }
-        // The own processor down: every INVITE comes back at once, so a session would spend them all in one moment.
+        // The own processor down: each INVITE comes back at once; a session would spend them all in a moment.
         boolean ownDown = ending == Ending.NOT_SENT && cause == Cause.PROCESSOR_FULL;
         boolean hopeless = ownDown || cause == Cause.FULL_BEYOND || cause == Cause.LINES_BUSY
                 || far.number == it.session.farEnd() && ending != Ending.NOT_SENT
@@ -545,7 +546,7 @@
 
     // ---- what a processor shows
 
-    /** Whether a processor may get one more set-up: by roster, budget, failures, named wait and set-up time. */
+    /** Whether a processor may get one more set-up: by budget, failures, named wait and windows. */
     private boolean open(long now, Far far, long target, double press) {
         if (now < far.holdUntil || !withinBudget(now, far)) {
             return false;
@@ -575,24 +576,24 @@
         }
     }
 
-    /** Rule 4: this router's part of what a fresh exchange can bear, per window, and a cap that answers raise. */
+    /** Rule 4: this router's part of what a fresh exchange can bear, per window. */
     private boolean withinBudget(long now, Far far) {
         if (far.since <= 0 || now - far.since >= warmUp) {
             return true;
         }
         double rate = ownLoad.sum(now) / Math.max(1, Math.min(RATE_WINDOW, now - started)) * 1e6;
         double budget = coldBudget * rate / Math.max(1, routers - 1);
-        return far.settingUp.size() < far.cap && far.sends.sum(now) + 1 <= Math.max(1, budget);
+        return far.sends.sum(now) + 1 <= Math.max(1, budget);
     }
 
-    private void settled(long now, long session, Held it, Ending ending, Cause cause, long took, long namedWait) {
+    private void settled(long now, long session, Held it, Ending ending, Cause cause, long took,
+            long namedWait) {
         Far far = it.invite.far;
         boolean wasSettingUp = far.settingUp.remove(session) != null;
         inFlight -= wasSettingUp ? 1 : 0;
         boolean answered = ending == Ending.STANDS || ending == Ending.BUSY || ending == Ending.ERROR;
         if (answered && wasSettingUp) {
             far.failures = 0;
-            far.cap++;
             // A busy reply is quick and says nothing good: a full processor must not widen its own window.
             if (ending == Ending.STANDS || cause == Cause.PROCESSOR_FULL) {
                 boolean quick = ending == Ending.STANDS && took < SLOW * services[it.kind].target;
--- a/src/main/java/coralcove/drill/Line.java
+++ b/src/main/java/coralcove/drill/Line.java
@@ -23,6 +23,7 @@
     private static final int WAKE = 0;
 
     private final int who;
+    private final int services;
     private final CallRouter router;
     private final Map<Long, Session> sessions = new HashMap<>();
     private final Map<Integer, Long> timers = new HashMap<>();
@@ -31,6 +32,7 @@
 
     Line(int who, long seed, Settings settings) {
         this.who = who;
+        services = settings.services().size();
         router = new Choice(settings, new SplittableRandom(seed));
     }
 
@@ -81,12 +83,16 @@
         }
     }
 
-    private void session(Event event, long clock, Reply reply) {
+    private void session(Event event, long clock, Reply reply) throws BadFrame {
+        if (event.u8(7) >= services) {
+            throw new BadFrame(event.where() + ": service " + event.u8(7) + " is not in the settings");
+        }
         int flags = event.u16(46);
         long now = up(clock);
         long limit = Math.floorDiv(clock + event.i64(18), 1000L);
         Session session = new Session(event.u32(3), event.u8(7), event.u16(8), (int) event.f32(34),
-                (int) event.f32(38), (int) event.f32(42), (flags & 8) != 0, event.i64(10), (flags & 2) != 0, (flags & 16) != 0, now, limit);
+                (int) event.f32(38), (int) event.f32(42), (flags & 8) != 0, event.i64(10),
+                (flags & 2) != 0, (flags & 16) != 0, now, limit);
         sessions.put(session.id(), session);
         carryOut(session, router.route(now, session), clock, reply);
     }
--- /dev/null
+++ b/src/test/java/coralcove/ChoiceTest.java
@@ -0,0 +1,200 @@
+package coralcove;
+
+import static coralcove.Cause.FULL_BEYOND;
+import static coralcove.Cause.NONE;
+import static coralcove.Cause.NO_CIRCUIT;
+import static coralcove.Cause.PROCESSOR_FULL;
+import static coralcove.Cause.TURNED_BACK;
+import static coralcove.Ending.BUSY;
+import static coralcove.Ending.CANCELLED;
+import static coralcove.Ending.NOT_SENT;
+import static coralcove.Ending.RESET;
+import static coralcove.Ending.STANDS;
+import static coralcove.Ending.TIMED_OUT;
+import static coralcove.Exchange.Phase.DRAINING;
+import static coralcove.Exchange.Phase.GONE;
+import static coralcove.Exchange.Phase.READY;
+
+import org.junit.jupiter.api.Test;
+
+/** Each test plays a short scene and compares what was decided with the trace kept under src/test/resources. */
+class ChoiceTest {
+    private static Desk three() {
+        return new Desk().roster(READY, 0, 0, 1, 2, 3).circuits(1, 50, 50).circuits(2, 50, 50).circuits(3, 50, 50);
+    }
+
+    @Test
+    void cheapSessionsAreThinnedInATightGroupAndDearOnesPass() {
+        Desk desk = three();
+        desk.load(1, 200, 0, 1, 100).circuits(1, 1, 50);
+        desk.load(1000, 40, 1, 1, 50);
+        for (int round = 0; round < 4; round++) {
+            desk.circuits(1, 1, 50).call(2000 + round, 0, 1);
+            desk.circuits(1, 1, 50).call(3000 + round, 1, 1);
+            desk.pass(2500);
+        }
+        desk.circuits(1, 12, 50).call(4000, 0, 1);
+        desk.reads("thinned");
+    }
+
+    @Test
+    void phantomsLiveOneHoldAndLetTheClassInAgain() {
+        Desk desk = three();
+        desk.load(1, 300, 0, 1, 50).circuits(1, 0, 50);
+        desk.load(1000, 30, 0, 1, 100);
+        desk.circuits(1, 2, 50).call(2000, 0, 1);
+        desk.pass(11_000).circuits(1, 2, 50).call(2001, 0, 1);
+        desk.reads("phantoms");
+    }
+
+    @Test
+    void degenerateGroups() {
+        Desk desk = three();
+        desk.circuits(1, 1, 50).note("no load yet, one circuit free").call(1, 0, 1);
+        desk.circuits(2, 0, 0).note("no group to 2").call(2, 0, 2);
+        desk.note("number 9 is on no list").call(3, 0, 9);
+        desk.circuits(3, 0, 50).circuits(1, 0, 50).note("all groups full").call(4, 1, 3);
+        new Desk().call(5, 0, 1);
+        desk.reads("degenerate");
+    }
+
+    @Test
+    void aFullGroupOverflowsToTheRoomyTandemOfLeastSlope() {
+        Desk desk = three();
+        desk.load(1, 60, 0, 2, 100).load(100, 20, 0, 3, 100);
+        desk.circuits(1, 0, 50).circuits(2, 30, 50).circuits(3, 30, 50);
+        desk.call(1000, 0, 1);
+        desk.after(1000, BUSY, TURNED_BACK, 40);
+        desk.after(1000, BUSY, FULL_BEYOND, 40);
+        desk.note("3 turned back for 1 a moment ago").call(1001, 0, 1);
+        desk.circuits(2, 9, 50).circuits(3, 9, 50).note("tandems under a fifth free").call(1002, 0, 1);
+        desk.reads("overflow");
+    }
+
+    @Test
+    void transitGoesOnlyToItsFarEndAndOnlyWhileTheGroupIsRoomy() {
+        Desk desk = three();
+        desk.circuits(1, 12, 50).transit(1, 0, 1);
+        desk.circuits(1, 9, 50).transit(2, 0, 1);
+        desk.circuits(1, 0, 50).transit(3, 1, 1);
+        desk.after(1, BUSY, PROCESSOR_FULL, 40);
+        desk.reads("transit");
+    }
+
+    @Test
+    void everySessionGetsOneFinalAnswerInTime() {
+        Desk desk = three();
+        desk.call(1, 0, 1);
+        desk.pass(3000).after(1, TIMED_OUT, NONE, 3000);
+        desk.call(2, 0, 2);
+        desk.pass(100).after(2, RESET, NONE, 100, true);
+        desk.ended(2).after(2, RESET, NONE, 100, true);
+        long now = desk.now();
+        desk.call(new Session(3, 0, 0, 2, 1, -1, false, 0, true, false, now, now + 250_000));
+        desk.note("the release wait would outlast the caller").after(3, RESET, NONE, 10);
+        desk.circuits(1, 0, 50).call(4, 0, 1);
+        for (int i = 0; i < 2; i++) {
+            desk.circuits(2, 40, 50).circuits(3, 40, 50).after(4, NOT_SENT, NO_CIRCUIT, 0);
+        }
+        desk.reads("one-answer");
+    }
+
+    @Test
+    void theReleaseWaitIsKept() {
+        Desk desk = three();
+        desk.circuits(1, 0, 50).call(1, 0, 1);
+        desk.pass(100).after(1, CANCELLED, NONE, 100);
+        desk.again(1);
+        desk.pass(299).again(1);
+        desk.pass(1).again(1);
+        desk.reads("release");
+    }
+
+    @Test
+    void nothingNewToDrainingOrGone() {
+        Desk desk = three();
+        desk.roster(DRAINING, 0, 1).roster(GONE, 0, 2);
+        desk.call(1, 0, 1);
+        desk.transit(2, 0, 2);
+        desk.circuits(3, 0, 50).note("no tandem among those left").call(3, 0, 3);
+        desk.roster(READY, 0, 1).call(4, 0, 1);
+        desk.reads("drains");
+    }
+
+    @Test
+    void aFreshExchangeGetsThisRoutersPartOnly() {
+        Desk desk = new Desk(4, 4).roster(READY, 0, 0, 1, 2, 3).circuits(1, 50, 50).circuits(2, 50, 50);
+        desk.load(1, 100, 0, 2, 100);
+        desk.roster(READY, desk.now(), 1).note("1 started just now");
+        desk.load(200, 40, 0, 1, 100).load(300, 80, 0, 1, 100).load(400, 40, 0, 1, 100);
+        desk.reads("fresh");
+    }
+
+    @Test
+    void failuresInARowCloseAnExchangeUntilATrialIsAnswered() {
+        Desk desk = three();
+        for (int id = 1; id <= 3; id++) {
+            desk.call(id, 0, 1);
+        }
+        desk.pass(3000);
+        for (int id = 1; id <= 3; id++) {
+            desk.after(id, TIMED_OUT, NONE, 3000);
+        }
+        desk.call(4, 1, 1);
+        desk.pass(500).note("a trial is due").call(5, 1, 1);
+        desk.call(6, 1, 1);
+        desk.pass(80).after(5, STANDS, NONE, 80);
+        desk.call(7, 1, 1);
+        desk.reads("failures");
+    }
+
+    @Test
+    void slowSetUpsNarrowTheWindowAndQuickOnesWidenIt() {
+        Desk desk = three();
+        desk.load(1, 12, 0, 1, 0, 600);
+        desk.call(20, 0, 1);
+        desk.note("one in flight fills what is left").call(21, 0, 1);
+        desk.pass(90).after(20, STANDS, NONE, 90);
+        desk.load(100, 30, 0, 1, 20);
+        desk.call(30, 0, 1);
+        desk.call(31, 0, 1);
+        desk.after(30, BUSY, PROCESSOR_FULL, 5);
+        desk.note("a full processor is left alone for a moment").call(32, 1, 1);
+        desk.pass(300).call(33, 1, 1);
+        desk.reads("windows");
+    }
+
+    @Test
+    void oneSlowExchangeDoesNotCloseTheWayToOthers() {
+        Desk desk = three();
+        desk.load(1, 40, 0, 1, 0, 900);
+        desk.load(100, 3, 0, 2, 0);
+        desk.call(200, 0, 2);
+        desk.call(201, 0, 3);
+        desk.call(202, 0, 3);
+        desk.reads("one-slow");
+    }
+
+    @Test
+    void anOwnProcessorThatIsDownEndsTheSessionAtOnce() {
+        Desk desk = three();
+        desk.call(1, 0, 1);
+        desk.after(1, NOT_SENT, PROCESSOR_FULL, 0);
+        desk.reads("own-down");
+    }
+
+    @Test
+    void redialsAreJudgedByTheirCallersFirstTry() {
+        Desk desk = three().circuits(1, 5, 50).circuits(2, 0, 50).circuits(3, 0, 50);
+        desk.load(1, 100, 0, 1, 100).circuits(1, 0, 50);
+        long first = desk.now();
+        desk.call(new Session(500, 0, 0, 1, 1, -1, false, 77, false, false, first, first + 3_000_000));
+        desk.pass(500).circuits(1, 5, 50).note("5 of 50 free: room for what may be in time");
+        desk.call(new Session(501, 0, 0, 1, 1, -1, false, 77, true, false, desk.now(), desk.now() + 3_000_000));
+        desk.pass(500).circuits(1, 0, 50).note("past the target");
+        desk.call(new Session(502, 0, 0, 1, 1, -1, false, 77, true, false, desk.now(), desk.now() + 3_000_000));
+        desk.note("cut and come again").circuits(1, 5, 50);
+        desk.call(new Session(503, 0, 0, 1, 1, -1, false, 0, true, true, desk.now(), desk.now() + 3_000_000));
+        desk.reads("redials");
+    }
+}
