Leave a tandem that turned a session back alone for that far end for 4 s, not 1 s

Cause: overflow kept asking tandems whose second group was full; each ask is work at three processors. May miss room that opens.

--- a/src/main/java/coralcove/Choice.java
+++ b/src/main/java/coralcove/Choice.java
@@ -61,7 +61,7 @@
     /** µs: hold-back after a full processor that names no wait: about what drains between two answers. */
     private static final long FULL_HOLD = 300_000;
     /** µs: a tandem that turned a session back is not asked for that far end for this long. */
-    private static final long TURNED_BACK_HOLD = 1_000_000;
+    private static final long TURNED_BACK_HOLD = 4_000_000;
     /** INVITEs in flight to a fresh exchange, to start with; its answers widen this like any window. */
     private static final double FRESH_WINDOW = 2;
     /** Share of a fresh exchange's budget that is used, since its speed is guessed from other loads. */
