--- a/src/main/java/coralcove/Choice.java
+++ b/src/main/java/coralcove/Choice.java
@@ -95,7 +95,6 @@
     private int inFlight;
     private double ownWindow = OWN_FIRST;
     private long ownCutAt;
-    private Far lastSlow;
     private final LinkedHashMap<Long, Long> firstTries = new LinkedHashMap<>();
     private long started = -1;
     private boolean subscribeDue;
@@ -150,6 +149,7 @@
         long holdUntil;
         double window = WINDOW_FIRST;
         long cutAt;
+        boolean slow;
 
         Far(long id, int number, Group group, Ring sends) {
             this.id = id;
@@ -558,15 +558,27 @@
                 && inFlight < Math.max(1, ownWindow * press);
     }
 
+    /** A few hung or slow exchanges must not close the way to the others; most of them slow is the own processor. */
+    private boolean mostAreSlow() {
+        int slow = 0;
+        int all = 0;
+        for (Far far : exchanges.values()) {
+            if (far.ready && far.number != ownNumber) {
+                slow += far.slow ? 1 : 0;
+                all++;
+            }
+        }
+        return 2 * slow > all;
+    }
+
     /** Grows by one for a window of quick answers, and is cut once for a window of slow ones. */
     private void pace(long now, Far far, Invite invite, boolean quick) {
+        far.slow = !quick;
         if (quick) {
             ownWindow = Math.min(OWN_MOST, ownWindow + 1 / ownWindow);
-        } else if (lastSlow != far && invite.sentAt >= ownCutAt) {
-            // One hung or slow exchange must not close the way to the others: slowness at two in turn does.
-            ownWindow = lastSlow == null ? ownWindow : Math.max(2, ownWindow * OWN_CUT);
+        } else if (invite.sentAt >= ownCutAt && mostAreSlow()) {
+            ownWindow = Math.max(2, ownWindow * OWN_CUT);
             ownCutAt = now;
-            lastSlow = far;
         }
         if (quick) {
             far.window = Math.min(WINDOW_MOST, far.window + 1 / far.window);
@@ -607,9 +619,7 @@
             far.trialAt = now + Math.min(TRIAL_LONGEST, wait);
         }
         if (cause == Cause.PROCESSOR_FULL && ending == Ending.BUSY) {
-            // Held for the whole wait it names, a processor would stand idle by the end of it.
-            long enough = (long) (SLOW * services[it.kind].target);
-            far.holdUntil = now + Math.max(FULL_HOLD, namedWait - enough);
+            far.holdUntil = now + (namedWait > 0 ? namedWait : FULL_HOLD);
         }
         if (cause == Cause.TURNED_BACK || cause == Cause.FULL_BEYOND) {
             far.group.turnedBack.put(it.session.farEnd(), now + TURNED_BACK_HOLD);
