Gap numbers whose lines are busy, ask redial marks first, and mend a crash in the memory of numbers

Gaps cover any far end that answers busy for one number; they may leave a freed line unused for up to 2 s.

--- a/src/main/java/coralcove/Choice.java
+++ b/src/main/java/coralcove/Choice.java
@@ -70,6 +70,9 @@
     private static final double COME_BACK = 0.4;
     /** Share of the post-dial target, since a caller's first try, past which a set-up would end late. */
     private static final double LATE_SHARE = 0.8;
+    /** µs: the first and the longest gap between INVITEs to a number whose lines were busy: part of a hold. */
+    private static final long LINES_GAP = 500_000;
+    private static final long LINES_GAP_MOST = 2_000_000;
     /** µs: how long a caller's first try is remembered: longer than callers go on trying. */
     private static final long MEMORY = 10_000_000;
     /** µs: less than this before its timer limit a session is not sent any more; a set-up takes longer. */
@@ -95,7 +98,8 @@
     private int inFlight;
     private double ownWindow = OWN_FIRST;
     private long ownCutAt;
-    private final LinkedHashMap<Long, Long> firstTries = new LinkedHashMap<>();
+    private final boolean marks;
+    private final Map<Long, Called> numbers = new LinkedHashMap<>();
     private long started = -1;
     private boolean subscribeDue;
 
@@ -161,6 +165,20 @@
 
     private record Invite(Far far, long sentAt, boolean trial) {}
 
+    /** What is remembered of a number called: its caller's first try, and until when its lines seem busy. */
+    private static final class Called {
+        final long first;
+        long gap;
+        long busyUntil;
+        long touched;
+
+        Called(long first, long gap, long busyUntil) {
+            this.first = first;
+            this.gap = gap;
+            this.busyUntil = busyUntil;
+        }
+    }
+
     /** A session in hand, until nothing more can come for it. */
     private static final class Held {
         final Session session;
@@ -190,6 +208,7 @@
         coldBudget = COLD_SHARE * settings.fallMultiple() * settings.coldFrom() * fallWindow / 1e6;
         subscribes = settings.subscribe();
         subscribeDue = subscribes;
+        marks = settings.redialsMarked();
         List<Settings.Service> given = settings.services();
         byWorth = order(given);
         services = new Service[2 * given.size()];
@@ -221,25 +240,44 @@
     }
 
     /**
-     * The class of a session: odd when it can only stand late. A try remembered by the number called tells
-     * when its caller first came; without it a marked redial is late, unless it was cut and comes again.
+     * The class of a session: odd when it can only stand late. Where callers mark redials the mark is asked first,
+     * as many may call one number; a try remembered by the number called tells when its caller first came.
      */
     private int kind(long now, Session session) {
-        Long first = session.transit() ? null : firstTries.get(session.number());
-        boolean late = first == null ? session.redialled() && !session.cut()
-                : now > first + LATE_SHARE * services[2 * session.service()].target;
-        return 2 * session.service() + (late ? 1 : 0);
+        Called known = session.transit() ? null : numbers.get(session.number());
+        boolean tried = marks ? session.redialled() && !session.cut() : known != null;
+        boolean inTime = known != null && now <= known.first + LATE_SHARE * services[2 * session.service()].target;
+        return 2 * session.service() + (tried && !inTime ? 1 : 0);
     }
 
-    private void remember(long now, Held it) {
-        Session session = it.session;
-        if (!session.transit() && session.number() != 0) {
-            firstTries.putIfAbsent(session.number(), session.arrived());
-            Iterator<Long> oldest = firstTries.values().iterator();
-            while (now - oldest.next() > MEMORY) {
-                oldest.remove();
-            }
+    /** What is known of a number, made if new; the one touched longest ago is dropped once it is old. */
+    private Called touch(long now, Session session) {
+        Called known = numbers.remove(session.number());
+        if (known == null || now - known.first > MEMORY) {
+            long gap = known == null ? 0 : known.gap;
+            known = new Called(session.arrived(), gap, known == null ? 0 : known.busyUntil);
         }
+        known.touched = now;
+        numbers.put(session.number(), known);
+        Iterator<Called> oldest = numbers.values().iterator();
+        while (now - oldest.next().touched > MEMORY) {
+            oldest.remove();
+        }
+        return known;
+    }
+
+    /** A number whose lines are all busy is left alone for a growing while: each ask costs both processors. */
+    private void linesBusy(long now, Session session) {
+        if (session.number() != 0) {
+            Called known = touch(now, session);
+            known.gap = Math.min(LINES_GAP_MOST, Math.max(LINES_GAP, 2 * known.gap));
+            known.busyUntil = now + known.gap;
+        }
+    }
+
+    private boolean linesBusyNow(long now, Session session) {
+        Called known = numbers.get(session.number());
+        return known != null && now < known.busyUntil;
     }
 
     // ---- the three questions
@@ -367,7 +405,8 @@
     private Answer choose(long now, Held it) {
         Session session = it.session;
         Far direct = ready(session.farEnd());
-        if (direct == null || it.sent >= inviteLimit || session.limit() - now < TOO_LATE) {
+        if (direct == null || it.sent >= inviteLimit || session.limit() - now < TOO_LATE
+                || linesBusyNow(now, session)) {
             return refuse(now, it, direct);
         }
         Service service = services[it.kind];
@@ -436,7 +475,9 @@
 
     private Answer refuse(long now, Held it, Far direct) {
         held.remove(it.session.id());
-        remember(now, it);
+        if (!it.session.transit() && it.session.number() != 0) {
+            touch(now, it.session);
+        }
         if (direct != null) {
             direct.group.loads[it.kind].phantoms.add(now, 1);
         }
@@ -453,7 +494,6 @@
         }
         if ((ran || ending == Ending.ERROR) && !service.repeatable) {
             held.remove(it.session.id());
-            remember(now, it);
             return Answer.FAIL;
         }
         // The own processor down: each INVITE comes back at once; a session would spend them all in a moment.
@@ -604,6 +644,9 @@
         boolean wasSettingUp = far.settingUp.remove(session) != null;
         inFlight -= wasSettingUp ? 1 : 0;
         boolean answered = ending == Ending.STANDS || ending == Ending.BUSY || ending == Ending.ERROR;
+        if (ending == Ending.STANDS && numbers.containsKey(it.session.number())) {
+            numbers.get(it.session.number()).gap = 0;
+        }
         if (answered && wasSettingUp) {
             far.failures = 0;
             // A busy reply is quick and says nothing good: a full processor must not widen its own window.
@@ -621,6 +664,9 @@
         if (cause == Cause.PROCESSOR_FULL && ending == Ending.BUSY) {
             far.holdUntil = now + (namedWait > 0 ? namedWait : FULL_HOLD);
         }
+        if (cause == Cause.LINES_BUSY) {
+            linesBusy(now, it.session);
+        }
         if (cause == Cause.TURNED_BACK || cause == Cause.FULL_BEYOND) {
             far.group.turnedBack.put(it.session.farEnd(), now + TURNED_BACK_HOLD);
         }
--- a/src/main/java/coralcove/Settings.java
+++ b/src/main/java/coralcove/Settings.java
@@ -5,7 +5,7 @@
 /** What a call router is told at its start, in this project's words; times in microseconds. */
 public record Settings(
         int rank, int routers, int ownNumber, boolean pools, List<Service> services, List<Double> allowances,
-        int inviteLimit, boolean comeBack, long longestComeBack, boolean probes, boolean peers, boolean advice,
+        int inviteLimit, boolean redialsMarked, boolean comeBack, long longestComeBack, boolean probes, boolean peers, boolean advice,
         boolean subscribe, long askWithin, long releaseWait, long resendAfter, double fallMultiple, long fallWindow,
         double coldFrom, long warmUp, List<String> columns) {
 
--- a/src/main/java/coralcove/drill/Boot.java
+++ b/src/main/java/coralcove/drill/Boot.java
@@ -50,7 +50,8 @@
         }
         return new Settings((int) number("rank", 0), Integer.parseInt(need("balancers")),
                 Integer.parseInt(need("family_info.this_node")), get("family_info.layout", "mesh").equals("pools"),
-                services, allowances, Integer.parseInt(need("limits.try_limit")), flag("limits.retry_after"),
+                services, allowances, Integer.parseInt(need("limits.try_limit")), flag("clients.marks_retry"),
+                flag("limits.retry_after"),
                 down(get("limits.max_retry_after", "0")), flag("limits.may_probe"), flag("limits.peers"),
                 flag("family_info.route_advice"), get("discovery", "pushed").equals("on_request"),
                 down(get("contract.ask_within", "0")), up(need("family_info.release_guard")),
--- a/src/test/java/coralcove/ChoiceTest.java
+++ b/src/test/java/coralcove/ChoiceTest.java
@@ -1,12 +1,14 @@
 package coralcove;
 
 import static coralcove.Cause.FULL_BEYOND;
+import static coralcove.Cause.LINES_BUSY;
 import static coralcove.Cause.NONE;
 import static coralcove.Cause.NO_CIRCUIT;
 import static coralcove.Cause.PROCESSOR_FULL;
 import static coralcove.Cause.TURNED_BACK;
 import static coralcove.Ending.BUSY;
 import static coralcove.Ending.CANCELLED;
+import static coralcove.Ending.ERROR;
 import static coralcove.Ending.NOT_SENT;
 import static coralcove.Ending.RESET;
 import static coralcove.Ending.STANDS;
@@ -187,14 +189,36 @@
     void redialsAreJudgedByTheirCallersFirstTry() {
         Desk desk = three().circuits(1, 5, 50).circuits(2, 0, 50).circuits(3, 0, 50);
         desk.load(1, 100, 0, 1, 100).circuits(1, 0, 50);
-        long first = desk.now();
-        desk.call(new Session(500, 0, 0, 1, 1, -1, false, 77, false, false, first, first + 3_000_000));
-        desk.pass(500).circuits(1, 5, 50).note("5 of 50 free: room for what may be in time");
-        desk.call(new Session(501, 0, 0, 1, 1, -1, false, 77, true, false, desk.now(), desk.now() + 3_000_000));
-        desk.pass(500).circuits(1, 0, 50).note("past the target");
-        desk.call(new Session(502, 0, 0, 1, 1, -1, false, 77, true, false, desk.now(), desk.now() + 3_000_000));
-        desk.note("cut and come again").circuits(1, 5, 50);
-        desk.call(new Session(503, 0, 0, 1, 1, -1, false, 0, true, true, desk.now(), desk.now() + 3_000_000));
+        desk.dial(500, 77, false, false);
+        desk.pass(500).circuits(1, 5, 50).note("5 of 50 free: room for what may be in time").dial(501, 77, true, false);
+        desk.pass(500).circuits(1, 0, 50).note("past the target").dial(502, 77, true, false);
+        desk.note("cut and come again").circuits(1, 5, 50).dial(503, 0, true, true);
+        desk.note("another caller of the same number").dial(504, 77, false, false);
         desk.reads("redials");
     }
+
+    @Test
+    void aNumberWithAllLinesBusyIsAskedAfterGrowingGaps() {
+        Desk desk = three();
+        desk.dial(1, 77, false, false);
+        desk.pass(50).after(1, ERROR, LINES_BUSY, 50);
+        desk.dial(2, 77, false, false);
+        desk.dial(3, 78, false, false);
+        desk.pass(500).dial(4, 77, false, false);
+        desk.pass(50).after(4, ERROR, LINES_BUSY, 50);
+        desk.pass(900).dial(5, 77, false, false);
+        desk.pass(100).dial(6, 77, false, false);
+        desk.reads("lines-busy");
+    }
+
+    @Test
+    void aSessionRefusedLongAfterItCameLeavesNoHoleInTheMemoryOfNumbers() {
+        Desk desk = three().circuits(1, 0, 50).circuits(2, 0, 50).circuits(3, 0, 50);
+        long now = desk.now();
+        desk.pass(11_000);
+        desk.call(new Session(1, 0, 0, 1, 1, -1, false, 77, true, false, now, now + 20_000_000));
+        desk.pass(11_000).dial(2, 77, true, false);
+        desk.pass(11_000).dial(3, 78, true, false);
+        desk.reads("old-numbers");
+    }
 }
--- a/src/test/java/coralcove/Desk.java
+++ b/src/test/java/coralcove/Desk.java
@@ -28,8 +28,8 @@
         List<Settings.Service> services = List.of(
                 new Settings.Service(1_000_000, 1, 0.1, 1, 10_000_000, true, List.of()),
                 new Settings.Service(1_000_000, 4, 0.1, 1, 5_000_000, true, List.of()));
-        router = new Choice(new Settings(0, routers, 0, false, services, List.of(), inviteLimit, true, 2_000_000,
-                false, false, false, false, 0, 300_000, 0, 2, 2_000_000, 0.3, 10_000_000, List.of()),
+        router = new Choice(new Settings(0, routers, 0, false, services, List.of(), inviteLimit, true, true,
+                2_000_000, false, false, false, false, 0, 300_000, 0, 2, 2_000_000, 0.3, 10_000_000, List.of()),
                 new SplittableRandom(1));
     }
 
@@ -58,6 +58,11 @@
         return call(new Session(id, service, 0, farEnd, 1, -1, false, 0, false, false, now, now + 3_000_000));
     }
 
+    /** A session to far end 1 that names the number it calls. */
+    Answer dial(long id, long number, boolean redialled, boolean cut) {
+        return call(new Session(id, 0, 0, 1, 1, -1, false, number, redialled, cut, now, now + 3_000_000));
+    }
+
     Answer transit(long id, int service, int farEnd) {
         return call(new Session(id, service, 0, farEnd, 1, 7, true, 0, false, false, now, now + 3_000_000));
     }
