--- a/src/main/java/coralcove/Choice.java
+++ b/src/main/java/coralcove/Choice.java
@@ -19,7 +19,7 @@
 public final class Choice implements CallRouter {
     // The design's figures.
     /** Share: the design's bound on the slack of the targets; the largest gives the steepest allowed test. */
-    private static final double EPSILON = 0.01;
+    private static final double EPSILON = 0.05;
     /** µs: span over which a service's rate on a group is counted (design). */
     private static final long RATE_WINDOW = 10_000_000;
     /** µs: age at which a group's targets are worked out anew (design). */
@@ -32,10 +32,6 @@
     /** Buckets of the rings of load and of phantoms: steps of half a second and of a hold's thirtieth. */
     private static final int LOAD_BUCKETS = 20;
     private static final int PHANTOM_BUCKETS = 30;
-    /** Least steepness of the test: below it, small groups take a class wholly or not at all. */
-    private static final double BETA_LEAST = 4;
-    /** Part of each reading that enters the mean of others' circuits: some tens of changes, a few seconds. */
-    private static final double OTHERS_STEP = 0.05;
     // The guards' figures.
     /** Share of the post-dial target past which a set-up is slow: the rest is for what queues up then. */
     private static final double SLOW = 0.4;
@@ -127,7 +123,6 @@
         final Map<Integer, Long> turnedBack = new HashMap<>();
         int free;
         int size;
-        double others = -1;
         double beta;
         long refreshAt;
 
@@ -362,20 +357,9 @@
         if (far != null) {
             far.group.free = free;
             far.group.size = size;
-            shareOut(far.group);
         }
     }
 
-    /** The circuits others hold, smoothed; what they leave is this router's to aim at. */
-    private void shareOut(Group group) {
-        double others = group.size - group.free;
-        for (int i = 0; i < services.length; i++) {
-            others -= group.loads[i].standing * services[i].width;
-        }
-        others = Math.max(0, others);
-        group.others = group.others < 0 ? others : group.others + OTHERS_STEP * (others - group.others);
-    }
-
     @Override
     public void report(long now, long exchange, boolean passed, long took, float[] columns) {
         begin(now);
@@ -555,7 +539,7 @@
     private void refresh(long now, Group group) {
         group.refreshAt = now + REFRESH;
         double span = Math.max(1, Math.min(RATE_WINDOW, now - started));
-        double left = Math.max(0, group.size - group.others) / (1 + 4 * EPSILON);
+        double left = group.size / (1 + 4 * EPSILON);
         double least = Double.POSITIVE_INFINITY;
         for (int index : byWorth) {
             Load load = group.loads[index];
@@ -581,7 +565,7 @@
                 load.phantoms.spread(now, (1 - alpha) * rho);
             }
         }
-        group.beta = Math.max(BETA_LEAST, EPSILON * least);
+        group.beta = EPSILON * least;
     }
 
     // ---- what a processor shows
