--- a/src/main/java/coralcove/Choice.java
+++ b/src/main/java/coralcove/Choice.java
@@ -60,8 +60,8 @@
     private static final long TURNED_BACK_HOLD = 4_000_000;
     /** INVITEs in flight to a fresh exchange, to start with; its answers widen this like any window. */
     private static final double FRESH_WINDOW = 2;
-    /** Share of a fresh exchange's budget that is used, since its speed is guessed from other loads. */
-    private static final double COLD_SHARE = 0.9;
+    /** Multiple of the budget reckoned from own callers' rate, which understates an exchange's speed by far. */
+    private static final double COLD_SHARE = 2;
     /** Share of the post-dial target after which a caller is asked back, to have a try left in time. */
     private static final double COME_BACK = 0.4;
     /** Share of the post-dial target, since a caller's first try, past which a set-up would end late. */
