--- a/src/main/java/coralcove/Choice.java
+++ b/src/main/java/coralcove/Choice.java
@@ -34,11 +34,11 @@
     private static final int PHANTOM_BUCKETS = 30;
     // The guards' figures.
     /** Share of the post-dial target past which a set-up is slow: the rest is for what queues up then. */
-    private static final double SLOW = 0.4;
+    private static final double SLOW = 0.3;
     /** Share of a window open to a tandem's leg, to what stands late, to low value and to the highest. */
     private static final double PRESS_TANDEM = 0.4;
     private static final double PRESS_LATE = 0.4;
-    private static final double PRESS_LOW = 0.75;
+    private static final double PRESS_LOW = 0.5;
     private static final double PRESS_HIGH = 1;
     /** INVITEs in flight to one exchange: to start with, and the most; above this it is never the limit. */
     private static final double WINDOW_FIRST = 4;
@@ -48,7 +48,7 @@
     private static final double OWN_MOST = 64;
     private static final double OWN_CUT = 0.85;
     /** What a slow answer leaves of the window. */
-    private static final double WINDOW_CUT = 0.7;
+    private static final double WINDOW_CUT = 0.5;
     /** INVITEs in a row without an answer that close an exchange: two can be chance, more costs circuits. */
     private static final int FAILURES = 3;
     /** µs: a closed exchange's first wait for a trial, and the longest; near the length of a short stall. */
--- a/src/test/java/coralcove/ChoiceTest.java
+++ b/src/test/java/coralcove/ChoiceTest.java
@@ -128,7 +128,8 @@
         Desk desk = new Desk(4, 4).roster(READY, 0, 0, 1, 2, 3).circuits(1, 50, 50).circuits(2, 50, 50);
         desk.load(1, 100, 0, 2, 100);
         desk.roster(READY, desk.now(), 1).note("1 started just now");
-        desk.load(200, 40, 0, 1, 100).load(300, 80, 0, 1, 100).load(400, 40, 0, 1, 100);
+        desk.load(200, 40, 0, 1, 100).load(300, 80, 0, 1, 100);
+        desk.circuits(1, 50, 50).load(400, 40, 0, 1, 100);
         desk.reads("fresh");
     }
 
@@ -136,7 +137,7 @@
     void failuresInARowCloseAnExchangeUntilATrialIsAnswered() {
         Desk desk = three();
         for (int id = 1; id <= 3; id++) {
-            desk.call(id, 0, 1);
+            desk.call(id, 1, 1);
         }
         desk.pass(3000);
         for (int id = 1; id <= 3; id++) {
