Let routers tell each other which groups are too tight for overflow, where peers may talk

Cause: a router does not see its tandems' second groups; a tenth of INVITEs came back. Lost messages end after 6 s; what is told twice is told every 3 s.

--- a/src/main/java/coralcove/Choice.java
+++ b/src/main/java/coralcove/Choice.java
@@ -2,7 +2,9 @@
 
 import static coralcove.Exchange.Phase.READY;
 
+import java.io.ByteArrayOutputStream;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.HashMap;
 import java.util.Iterator;
 import java.util.LinkedHashMap;
@@ -58,15 +60,18 @@
     private static final long FULL_HOLD = 300_000;
     /** µs: a tandem that turned a session back is not asked for that far end for this long. */
     private static final long TURNED_BACK_HOLD = 4_000_000;
+    /** µs: how often other routers are told of tight groups, if they changed; how long such news holds. */
+    private static final long TELL_EVERY = 1_000_000;
+    private static final long NEWS_FRESH = 6_000_000;
     /** INVITEs in flight to a fresh exchange, to start with; its answers widen this like any window. */
     private static final double FRESH_WINDOW = 2;
-    /** Multiple of the budget reckoned from own callers' rate, which understates an exchange's speed by far. */
+    /** Multiple of the budget reckoned from own callers' rate, which understates an exchange's speed. */
     private static final double COLD_SHARE = 2;
     /** Share of the post-dial target after which a caller is asked back, to have a try left in time. */
     private static final double COME_BACK = 0.4;
     /** Share of the post-dial target, since a caller's first try, past which a set-up would end late. */
     private static final double LATE_SHARE = 0.8;
-    /** µs: the first and the longest gap between INVITEs to a number whose lines were busy: part of a hold. */
+    /** µs: first and longest gap between INVITEs to a number whose lines were busy: part of a hold. */
     private static final long LINES_GAP = 500_000;
     private static final long LINES_GAP_MOST = 2_000_000;
     /** µs: how long a caller's first try is remembered: longer than callers go on trying. */
@@ -98,6 +103,10 @@
     private final Map<Long, Called> numbers = new LinkedHashMap<>();
     private long started = -1;
     private boolean subscribeDue;
+    private final boolean peers;
+    private byte[] told = {};
+    private long tellAt;
+    private long tellAgainAt;
 
     /** What a class is to the decisions: class 2n is service n at its first try, 2n + 1 its redials. */
     private record Service(long target, double worth, int width, long hold, boolean repeatable, double press,
@@ -203,6 +212,7 @@
         coldBudget = COLD_SHARE * settings.fallMultiple() * settings.coldFrom() * fallWindow / 1e6;
         subscribes = settings.subscribe();
         subscribeDue = subscribes;
+        peers = settings.peers() && !pools;
         marks = settings.redialsMarked();
         List<Settings.Service> given = settings.services();
         byWorth = order(given);
@@ -235,13 +245,14 @@
     }
 
     /**
-     * The class of a session: odd when it can only stand late. Where callers mark redials the mark is asked first,
-     * as many may call one number; a try remembered by the number called tells when its caller first came.
+     * The class of a session: odd when it can only stand late. Where callers mark redials the mark is asked
+     * first, as many may call one number; the memory of numbers tells when its caller first came.
      */
     private int kind(long now, Session session) {
         Called known = session.transit() ? null : numbers.get(session.number());
         boolean tried = marks ? session.redialled() && !session.cut() : known != null;
-        boolean inTime = known != null && now <= known.first + LATE_SHARE * services[2 * session.service()].target;
+        long target = services[2 * session.service()].target;
+        boolean inTime = known != null && now <= known.first + LATE_SHARE * target;
         return 2 * session.service() + (tried && !inTime ? 1 : 0);
     }
 
@@ -261,7 +272,7 @@
         return known;
     }
 
-    /** A number whose lines are all busy is left alone for a growing while: each ask costs both processors. */
+    /** A number whose lines are all busy is left alone for a growing while: each ask is work for all. */
     private void linesBusy(long now, Session session) {
         if (session.number() != 0) {
             Called known = touch(now, session);
@@ -322,7 +333,17 @@
         begin(now);
         boolean subscribe = subscribeDue;
         subscribeDue = false;
-        return new Waiting(0, List.of(), List.of(), subscribe);
+        List<byte[]> tell = List.of();
+        if (peers && now >= tellAt) {
+            byte[] news = tightGroups();
+            tellAt = now + TELL_EVERY;
+            if (!Arrays.equals(news, told) || now >= tellAgainAt) {
+                tell = List.of(news);
+                told = news;
+                tellAgainAt = now + NEWS_FRESH / 2;
+            }
+        }
+        return new Waiting(peers ? tellAt : 0, List.of(), tell, subscribe);
     }
 
     // ---- the facts
@@ -368,6 +389,19 @@
     @Override
     public void peer(long now, int rank, byte[] body) {
         begin(now);
+        Group tandem = body.length < 2 ? null : groups.get(number(body, 0));
+        if (tandem == null) {
+            return;
+        }
+        // News says more than the last turning back, either way; a lost message ends with NEWS_FRESH.
+        tandem.turnedBack.clear();
+        for (int i = 2; i + 1 < body.length; i += 2) {
+            tandem.turnedBack.put(number(body, i), now + NEWS_FRESH);
+        }
+    }
+
+    private static int number(byte[] body, int at) {
+        return body[at] & 0xff | (body[at + 1] & 0xff) << 8;
     }
 
     @Override
@@ -378,6 +412,20 @@
         }
     }
 
+    /** Own number, then the numbers no overflow can reach over this exchange; two bytes each. */
+    private byte[] tightGroups() {
+        ByteArrayOutputStream out = new ByteArrayOutputStream();
+        out.write(ownNumber);
+        out.write(ownNumber >> 8);
+        groups.forEach((number, group) -> {
+            if (group.size > 0 && !roomy(group)) {
+                out.write(number);
+                out.write(number >> 8);
+            }
+        });
+        return out.toByteArray();
+    }
+
     private void begin(long now) {
         if (started < 0) {
             started = now;
@@ -582,7 +630,7 @@
                 && inFlight < Math.max(1, ownWindow * press);
     }
 
-    /** A few hung or slow exchanges must not close the way to the others; most of them slow is the own processor. */
+    /** A few hung or slow exchanges must not close the way to the others; most slow is the own processor. */
     private boolean mostAreSlow() {
         int slow = 0;
         int all = 0;
--- a/src/test/java/coralcove/ChoiceTest.java
+++ b/src/test/java/coralcove/ChoiceTest.java
@@ -222,4 +222,17 @@
         desk.pass(11_000).dial(3, 78, true, false);
         desk.reads("old-numbers");
     }
+
+    @Test
+    void routersTellEachOtherOfGroupsTooTightForOverflow() {
+        Desk desk = three();
+        desk.circuits(1, 0, 50).circuits(2, 9, 50).tells().tells();
+        desk.pass(1000).tells().pass(2000).note("nothing new, but news grows old").tells();
+        desk.circuits(2, 40, 50).pass(1000).tells();
+        desk.load(100, 20, 0, 3, 10).call(1, 0, 1);
+        desk.note("2 tells that its group to 1 is tight").peer(2, 0, 1, 0).call(2, 0, 1);
+        desk.note("and 3 too").peer(3, 0, 1, 0).call(3, 0, 1);
+        desk.note("2 has room again; odd messages say nothing").peer(2, 0).peer(3).peer().peer(9, 9, 1).call(4, 0, 1);
+        desk.reads("peers");
+    }
 }
--- a/src/test/java/coralcove/Desk.java
+++ b/src/test/java/coralcove/Desk.java
@@ -7,6 +7,7 @@
 import java.io.InputStream;
 import java.nio.charset.StandardCharsets;
 import java.util.HashMap;
+import java.util.HexFormat;
 import java.util.List;
 import java.util.Map;
 import java.util.SplittableRandom;
@@ -29,7 +30,7 @@
                 new Settings.Service(1_000_000, 1, 0.1, 1, 10_000_000, true, List.of()),
                 new Settings.Service(1_000_000, 4, 0.1, 1, 5_000_000, true, List.of()));
         router = new Choice(new Settings(0, routers, 0, false, services, List.of(), inviteLimit, true, true,
-                2_000_000, false, false, false, false, 0, 300_000, 0, 2, 2_000_000, 0.3, 10_000_000, List.of()),
+                2_000_000, false, true, false, false, 0, 300_000, 0, 2, 2_000_000, 0.3, 10_000_000, List.of()),
                 new SplittableRandom(1));
     }
 
@@ -63,6 +64,24 @@
         return call(new Session(id, 0, 0, 1, 1, -1, false, number, redialled, cut, now, now + 3_000_000));
     }
 
+    Desk peer(int... body) {
+        router.peer(now, 1, bytes(body));
+        return this;
+    }
+
+    Desk tells() {
+        router.waiting(now).broadcasts().forEach(body -> note("tells all others " + HexFormat.of().formatHex(body)));
+        return this;
+    }
+
+    private static byte[] bytes(int... values) {
+        byte[] bytes = new byte[values.length];
+        for (int i = 0; i < bytes.length; i++) {
+            bytes[i] = (byte) values[i];
+        }
+        return bytes;
+    }
+
     Answer transit(long id, int service, int farEnd) {
         return call(new Session(id, service, 0, farEnd, 1, 7, true, 0, false, false, now, now + 3_000_000));
     }
