--- a/src/main/java/coralcove/Choice.java
+++ b/src/main/java/coralcove/Choice.java
@@ -45,9 +45,6 @@
     /** INVITEs in flight to one exchange: to start with, and the most; above this it is never the limit. */
     private static final double WINDOW_FIRST = 4;
     private static final double WINDOW_MOST = 32;
-    /** The least window, below one INVITE; and µs, the longest rest it makes, so that recovery is seen. */
-    private static final double WINDOW_LEAST = 0.25;
-    private static final long REST_MOST = 2_000_000;
     /** The same for all INVITEs in flight from here, which all pass the own processor. */
     private static final double OWN_FIRST = 16;
     private static final double OWN_MOST = 64;
@@ -160,7 +157,6 @@
         long holdUntil;
         double window = WINDOW_FIRST;
         long cutAt;
-        long restUntil;
         boolean slow;
 
         Far(long id, int number, Group group, Ring sends) {
@@ -624,7 +620,7 @@
 
     /** Whether a processor may get one more set-up: by budget, failures, named wait and windows. */
     private boolean open(long now, Far far, long target, double press) {
-        if (now < far.holdUntil || now < far.restUntil || !withinBudget(now, far)) {
+        if (now < far.holdUntil || !withinBudget(now, far)) {
             return false;
         }
         if (far.failures >= FAILURES) {
@@ -657,15 +653,11 @@
             ownCutAt = now;
         }
         if (quick) {
-            far.window = Math.min(WINDOW_MOST, far.window + Math.min(1 / far.window, far.window));
+            far.window = Math.min(WINDOW_MOST, far.window + 1 / far.window);
         } else if (invite.sentAt >= far.cutAt) {
-            far.window = Math.max(WINDOW_LEAST, far.window * WINDOW_CUT);
+            far.window = Math.max(1, far.window * WINDOW_CUT);
             far.cutAt = now;
         }
-        // One INVITE in flight from each router is still too much for a very slow processor: below one, it rests.
-        if (!quick && far.window < 1) {
-            far.restUntil = now + Math.min(REST_MOST, (long) ((now - invite.sentAt) * (1 / far.window - 1)));
-        }
     }
 
     /** Rule 4: this router's part of what a fresh exchange can bear, per window. */
