--- a/src/main/java/coralcove/Choice.java
+++ b/src/main/java/coralcove/Choice.java
@@ -58,8 +58,6 @@
     private static final long TRIAL_LONGEST = 2_000_000;
     /** µs: hold-back after a full processor that names no wait: about what drains between two answers. */
     private static final long FULL_HOLD = 300_000;
-    /** Exchanges a session may be sent to in all: in a large fleet each further tandem is more wasted work. */
-    private static final int OVERFLOW_TRIES = 2;
     /** µs: a tandem that turned a session back is not asked for that far end for this long. */
     private static final long TURNED_BACK_HOLD = 4_000_000;
     /** µs: how often other routers are told of tight groups, if they changed; how long such news holds. */
@@ -467,9 +465,6 @@
         Service service = services[it.kind];
         Far best = null;
         double least = Double.POSITIVE_INFINITY;
-        if (it.tried.size() >= OVERFLOW_TRIES) {
-            return refuse(now, it, direct);
-        }
         for (Group group : groups.values()) {
             Far far = group == direct.group ? null : ready(group);
             if (far == null || far.number == ownNumber || it.tried.contains(far) || !allowed(service, far)
