Wait 1 to 2 s before a failed question to the directory is put anew

Cause: a router asked again in the same round, and all at once would keep a pressed directory failing.

--- a/src/main/java/coralcove/Choice.java
+++ b/src/main/java/coralcove/Choice.java
@@ -63,6 +63,10 @@
     /** µs: how often other routers are told of tight groups, if they changed; how long such news holds. */
     private static final long TELL_EVERY = 1_000_000;
     private static final long NEWS_FRESH = 6_000_000;
+    /** µs: least wait, and as much again by chance, before a failed question to the directory is put anew. */
+    private static final long SUBSCRIBE_AGAIN = 1_000_000;
+    /** µs: a moment that does not come. */
+    private static final long NEVER = Long.MAX_VALUE;
     /** INVITEs in flight to a fresh exchange, to start with; its answers widen this like any window. */
     private static final double FRESH_WINDOW = 2;
     /** Multiple of the budget reckoned from own callers' rate, which understates an exchange's speed. */
@@ -89,6 +93,7 @@
     private final long fallWindow;
     private final long warmUp;
     private final boolean subscribes;
+    private final RandomGenerator chance;
     private final Service[] services;
     private final int[] byWorth;
     private final int widest;
@@ -102,7 +107,7 @@
     private final boolean marks;
     private final Map<Long, Called> numbers = new LinkedHashMap<>();
     private long started = -1;
-    private boolean subscribeDue;
+    private long subscribeAt;
     private final boolean peers;
     private byte[] told = {};
     private long tellAt;
@@ -201,6 +206,7 @@
     private enum Test { PASS, FULL, KEPT_BACK }
 
     public Choice(Settings settings, RandomGenerator chance) {
+        this.chance = chance;
         ownNumber = settings.ownNumber();
         routers = settings.routers();
         pools = settings.pools();
@@ -211,7 +217,7 @@
         warmUp = settings.warmUp();
         coldBudget = COLD_SHARE * settings.fallMultiple() * settings.coldFrom() * fallWindow / 1e6;
         subscribes = settings.subscribe();
-        subscribeDue = subscribes;
+        subscribeAt = subscribes ? 0 : NEVER;
         peers = settings.peers() && !pools;
         marks = settings.redialsMarked();
         List<Settings.Service> given = settings.services();
@@ -331,8 +337,10 @@
     @Override
     public Waiting waiting(long now) {
         begin(now);
-        boolean subscribe = subscribeDue;
-        subscribeDue = false;
+        boolean subscribe = now >= subscribeAt;
+        if (subscribe) {
+            subscribeAt = NEVER;
+        }
         List<byte[]> tell = List.of();
         if (peers && now >= tellAt) {
             byte[] news = tightGroups();
@@ -343,7 +351,8 @@
                 tellAgainAt = now + NEWS_FRESH / 2;
             }
         }
-        return new Waiting(peers ? tellAt : 0, List.of(), tell, subscribe);
+        long until = Math.min(subscribeAt, peers ? tellAt : NEVER);
+        return new Waiting(until == NEVER ? 0 : until, List.of(), tell, subscribe);
     }
 
     // ---- the facts
@@ -369,7 +378,8 @@
 
     @Override
     public void rosterLost(long now) {
-        subscribeDue = subscribes;
+        // A directory that fails is pressed: all routers asking again at once would keep it so.
+        subscribeAt = subscribes ? now + SUBSCRIBE_AGAIN + chance.nextLong(SUBSCRIBE_AGAIN) : NEVER;
     }
 
     @Override
--- a/src/test/java/coralcove/ChoiceTest.java
+++ b/src/test/java/coralcove/ChoiceTest.java
@@ -235,4 +235,9 @@
         desk.note("2 has room again; odd messages say nothing").peer(2, 0).peer(3).peer().peer(9, 9, 1).call(4, 0, 1);
         desk.reads("peers");
     }
+
+    @Test
+    void aDirectoryThatFailsIsAskedAgainAfterAWhile() {
+        new Desk().tells().tells().lost().tells().pass(999).tells().pass(1001).tells().tells().reads("directory");
+    }
 }
--- a/src/test/java/coralcove/Desk.java
+++ b/src/test/java/coralcove/Desk.java
@@ -30,7 +30,7 @@
                 new Settings.Service(1_000_000, 1, 0.1, 1, 10_000_000, true, List.of()),
                 new Settings.Service(1_000_000, 4, 0.1, 1, 5_000_000, true, List.of()));
         router = new Choice(new Settings(0, routers, 0, false, services, List.of(), inviteLimit, true, true,
-                2_000_000, false, true, false, false, 0, 300_000, 0, 2, 2_000_000, 0.3, 10_000_000, List.of()),
+                2_000_000, false, true, false, true, 0, 300_000, 0, 2, 2_000_000, 0.3, 10_000_000, List.of()),
                 new SplittableRandom(1));
     }
 
@@ -69,9 +69,15 @@
         return this;
     }
 
+    Desk lost() {
+        router.rosterLost(now);
+        return note("the directory's news is lost");
+    }
+
     Desk tells() {
-        router.waiting(now).broadcasts().forEach(body -> note("tells all others " + HexFormat.of().formatHex(body)));
-        return this;
+        Waiting waiting = router.waiting(now);
+        waiting.broadcasts().forEach(body -> note("tells all others " + HexFormat.of().formatHex(body)));
+        return waiting.subscribe() ? note("subscribes") : this;
     }
 
     private static byte[] bytes(int... values) {
