Overflow to another pool when the first choice is gone or closed; old numbers say nothing of a redial

Cause: found by reading. With pools a first choice that was gone refused all its sessions though another could serve them; where redials are not marked, a number remembered for over 10 s made a new caller late.

--- a/src/main/java/coralcove/Choice.java
+++ b/src/main/java/coralcove/Choice.java
@@ -48,6 +48,7 @@
     /** The same for all INVITEs in flight from here, which all pass the own processor. */
     private static final double OWN_FIRST = 16;
     private static final double OWN_MOST = 64;
+    private static final double OWN_LEAST = 2;
     private static final double OWN_CUT = 0.85;
     /** What a slow answer leaves of the window. */
     private static final double WINDOW_CUT = 0.5;
@@ -256,6 +257,7 @@
      */
     private int kind(long now, Session session) {
         Called known = session.transit() ? null : numbers.get(session.number());
+        known = known != null && now - known.first > MEMORY ? null : known;
         boolean tried = marks ? session.redialled() && !session.cut() : known != null;
         long target = services[2 * session.service()].target;
         boolean inTime = known != null && now <= known.first + LATE_SHARE * target;
@@ -447,21 +449,19 @@
     private Answer choose(long now, Held it) {
         Session session = it.session;
         Far direct = ready(session.farEnd());
-        if (direct == null || it.sent >= inviteLimit || session.limit() - now < TOO_LATE
-                || linesBusyNow(now, session)) {
+        if (it.sent >= inviteLimit || session.limit() - now < TOO_LATE || linesBusyNow(now, session)) {
             return refuse(now, it, direct);
         }
-        Service service = services[it.kind];
-        if (!session.transit() && it.sent > 0) {
-            return open(now, direct, service.target, service.press) ? overflow(now, it, direct)
-                    : refuse(now, it, direct);
-        }
-        if (!open(now, direct, service.target, service.press)) {
-            return refuse(now, it, direct);
+        if (direct == null || !open(now, direct, services[it.kind].press)) {
+            // In a mesh every way ends at the far end; another pool can serve what the first choice cannot.
+            return pools ? overflow(now, it, direct) : refuse(now, it, direct);
         }
         if (session.transit() && !roomy(direct.group)) {
             return refuse(now, it, direct);
         }
+        if (!session.transit() && it.sent > 0) {
+            return overflow(now, it, direct);
+        }
         return switch (test(now, direct.group, it)) {
             case PASS -> send(now, it, direct);
             case KEPT_BACK -> refuse(now, it, direct);
@@ -476,10 +476,10 @@
         Far best = null;
         double least = Double.POSITIVE_INFINITY;
         for (Group group : groups.values()) {
-            Far far = group == direct.group ? null : ready(group);
+            Far far = direct != null && group == direct.group ? null : ready(group);
             if (far == null || far.number == ownNumber || it.tried.contains(far) || !allowed(service, far)
-                    || group.turnedBack.getOrDefault(direct.number, 0L) > now
-                    || !open(now, far, service.target, PRESS_TANDEM) || !roomy(group)
+                    || group.turnedBack.getOrDefault(session.farEnd(), 0L) > now
+                    || !open(now, far, PRESS_TANDEM) || !roomy(group)
                     || test(now, group, it) != Test.PASS) {
                 continue;
             }
@@ -629,7 +629,7 @@
     // ---- what a processor shows
 
     /** Whether a processor may get one more set-up: by budget, failures, named wait and windows. */
-    private boolean open(long now, Far far, long target, double press) {
+    private boolean open(long now, Far far, double press) {
         if (now < far.holdUntil || !withinBudget(now, far)) {
             return false;
         }
@@ -659,7 +659,7 @@
         if (quick) {
             ownWindow = Math.min(OWN_MOST, ownWindow + 1 / ownWindow);
         } else if (invite.sentAt >= ownCutAt && mostAreSlow()) {
-            ownWindow = Math.max(2, ownWindow * OWN_CUT);
+            ownWindow = Math.max(OWN_LEAST, ownWindow * OWN_CUT);
             ownCutAt = now;
         }
         if (quick) {
--- a/src/test/java/coralcove/ChoiceTest.java
+++ b/src/test/java/coralcove/ChoiceTest.java
@@ -240,4 +240,15 @@
     void aDirectoryThatFailsIsAskedAgainAfterAWhile() {
         new Desk().tells().tells().lost().tells().pass(999).tells().pass(1001).tells().tells().reads("directory");
     }
+
+    @Test
+    void anotherPoolServesWhatTheFirstChoiceCannot() {
+        Desk desk = new Desk(4, 2, true).roster(READY, 0, 1, 2, 3);
+        desk.circuits(1, 50, 50).circuits(2, 40, 50).circuits(3, 50, 50);
+        desk.call(1, 0, 1);
+        desk.roster(GONE, 0, 1).note("pool 1 is gone; service 0 may use 1 and 2").call(2, 0, 1);
+        desk.roster(DRAINING, 0, 2).call(3, 0, 1);
+        desk.call(4, 1, 1);
+        desk.reads("pools");
+    }
 }
--- a/src/test/java/coralcove/Desk.java
+++ b/src/test/java/coralcove/Desk.java
@@ -26,10 +26,14 @@
 
     /** Two services: 0 plain (value 1, hold 10 s), 1 dear (value 4, hold 5 s); both one circuit, target 1 s. */
     Desk(int inviteLimit, int routers) {
+        this(inviteLimit, routers, false);
+    }
+
+    Desk(int inviteLimit, int routers, boolean pools) {
         List<Settings.Service> services = List.of(
-                new Settings.Service(1_000_000, 1, 0.1, 1, 10_000_000, true, List.of()),
+                new Settings.Service(1_000_000, 1, 0.1, 1, 10_000_000, true, List.of(1, 2)),
                 new Settings.Service(1_000_000, 4, 0.1, 1, 5_000_000, true, List.of()));
-        router = new Choice(new Settings(0, routers, 0, false, services, List.of(), inviteLimit, true, true,
+        router = new Choice(new Settings(0, routers, pools ? -1 : 0, pools, services, List.of(), inviteLimit, true, true,
                 2_000_000, false, true, false, true, 0, 300_000, 0, 2, 2_000_000, 0.3, 10_000_000, List.of()),
                 new SplittableRandom(1));
     }
