--- a/src/main/java/coralcove/Choice.java
+++ b/src/main/java/coralcove/Choice.java
@@ -57,8 +57,6 @@
     /** µs: a closed exchange's first wait for a trial, and the longest; near the length of a short stall. */
     private static final long TRIAL_FIRST = 500_000;
     private static final long TRIAL_LONGEST = 2_000_000;
-    /** µs: between probes of a closed exchange, where probes are allowed; each is a little work there. */
-    private static final long PROBE_EVERY = 500_000;
     /** µs: hold-back after a full processor that names no wait: about what drains between two answers. */
     private static final long FULL_HOLD = 300_000;
     /** µs: a tandem that turned a session back is not asked for that far end for this long. */
@@ -113,8 +111,6 @@
     private long subscribeAt;
     private final boolean peers;
     private byte[] told = {};
-    private final boolean probes;
-    private long probeAt = NEVER;
     private long tellAt;
     private long tellAgainAt;
 
@@ -164,7 +160,6 @@
         long since;
         int failures;
         long trialAt;
-        long probeAt;
         long holdUntil;
         double window = WINDOW_FIRST;
         long cutAt;
@@ -225,7 +220,6 @@
         subscribes = settings.subscribe();
         subscribeAt = subscribes ? 0 : NEVER;
         peers = settings.peers() && !pools;
-        probes = settings.probes();
         marks = settings.redialsMarked();
         List<Settings.Service> given = settings.services();
         byWorth = order(given);
@@ -359,25 +353,8 @@
                 tellAgainAt = now + NEWS_FRESH / 2;
             }
         }
-        List<Long> probing = probes ? probeClosed(now) : List.of();
-        long until = Math.min(Math.min(subscribeAt, probeAt), peers ? tellAt : NEVER);
-        return new Waiting(until == NEVER ? 0 : until, probing, tell, subscribe);
-    }
-
-    /** A closed exchange is probed: an answer opens it before a session has to be risked on a trial. */
-    private List<Long> probeClosed(long now) {
-        List<Long> due = new ArrayList<>();
-        probeAt = NEVER;
-        for (Far far : exchanges.values()) {
-            if (far.ready && far.number != ownNumber && far.failures >= FAILURES) {
-                if (now >= far.probeAt) {
-                    far.probeAt = now + PROBE_EVERY;
-                    due.add(far.id);
-                }
-                probeAt = Math.min(probeAt, far.probeAt);
-            }
-        }
-        return due;
+        long until = Math.min(subscribeAt, peers ? tellAt : NEVER);
+        return new Waiting(until == NEVER ? 0 : until, List.of(), tell, subscribe);
     }
 
     // ---- the facts
@@ -419,10 +396,6 @@
     @Override
     public void report(long now, long exchange, boolean passed, long took, float[] columns) {
         begin(now);
-        Far far = exchanges.get(exchange);
-        if (far != null && passed) {
-            far.failures = 0;
-        }
     }
 
     @Override
