--- a/src/main/java/coralcove/Choice.java
+++ b/src/main/java/coralcove/Choice.java
@@ -73,7 +73,7 @@
     /** Multiple of the budget reckoned from own callers' rate, which understates an exchange's speed. */
     private static final double COLD_SHARE = 2;
     /** Share of the post-dial target after which a caller is asked back, to have a try left in time. */
-    private static final double COME_BACK = 0.4;
+    private static final double COME_BACK = 0.3;
     /** Share of the post-dial target, since a caller's first try, past which a set-up would end late. */
     private static final double LATE_SHARE = 0.8;
     /** µs: first and longest gap between INVITEs to a number whose lines were busy: part of a hold. */
