Use three times the reckoned part of a cold exchange's budget

Cause: in releases up to a sixth of sessions were refused as over the cold budget, at a third of the limit. May harm if exchanges differ much in size.

--- a/src/main/java/coralcove/Choice.java
+++ b/src/main/java/coralcove/Choice.java
@@ -71,7 +71,7 @@
     /** INVITEs in flight to a fresh exchange, to start with; its answers widen this like any window. */
     private static final double FRESH_WINDOW = 2;
     /** Multiple of the budget reckoned from own callers' rate, which understates an exchange's speed. */
-    private static final double COLD_SHARE = 2;
+    private static final double COLD_SHARE = 3;
     /** Share of the post-dial target after which a caller is asked back, to have a try left in time. */
     private static final double COME_BACK = 0.3;
     /** Share of the post-dial target, since a caller's first try, past which a set-up would end late. */
