--- a/src/main/java/coralcove/Choice.java
+++ b/src/main/java/coralcove/Choice.java
@@ -31,6 +31,8 @@
     private static final int FREE_WIDTHS = 2;
     /** The same share for an own caller's session: the slack of the targets must not keep circuits empty. */
     private static final double FREE_OWN = 0.06;
+    /** The share a tandem's first leg must have free; the second leg, tested there, keeps the fifth. */
+    private static final double FREE_FIRST_LEG = 0.1;
     /** Buckets of the rings of load and of phantoms: steps of half a second and of a hold's thirtieth. */
     private static final int LOAD_BUCKETS = 20;
     private static final int PHANTOM_BUCKETS = 30;
@@ -479,7 +481,7 @@
             Far far = direct != null && group == direct.group ? null : ready(group);
             if (far == null || far.number == ownNumber || it.tried.contains(far) || !allowed(service, far)
                     || group.turnedBack.getOrDefault(session.farEnd(), 0L) > now
-                    || !open(now, far, PRESS_TANDEM) || !roomy(group)
+                    || !open(now, far, PRESS_TANDEM) || group.free < FREE_FIRST_LEG * group.size
                     || test(now, group, it) != Test.PASS) {
                 continue;
             }
