--- a/src/main/java/coralcove/Choice.java
+++ b/src/main/java/coralcove/Choice.java
@@ -39,9 +39,8 @@
     // The guards' figures.
     /** Share of the post-dial target past which a set-up is slow: the rest is for what queues up then. */
     private static final double SLOW = 0.3;
-    /** Share of a window open to a tandem's leg, to what stands late, to low value and to the highest. */
+    /** Share of a window open to a tandem's leg, to low value or what stands late, and to the highest. */
     private static final double PRESS_TANDEM = 0.4;
-    private static final double PRESS_LATE = 0.4;
     private static final double PRESS_LOW = 0.5;
     private static final double PRESS_HIGH = 1;
     /** INVITEs in flight to one exchange: to start with, and the most; above this it is never the limit. */
@@ -230,8 +229,7 @@
         for (int i = 0; i < services.length; i++) {
             Settings.Service it = given.get(i / 2);
             services[i] = new Service(it.target(), worth(given, i), it.width(), it.hold(), it.repeatable(),
-                    i % 2 == 1 ? PRESS_LATE : i == byWorth[0] && given.size() > 1 ? PRESS_HIGH : PRESS_LOW,
-                    it.pools());
+                    i == byWorth[0] && given.size() > 1 ? PRESS_HIGH : PRESS_LOW, it.pools());
             most = Math.max(most, it.width());
         }
         widest = most;
