Take out settings never read, dead record fields and a second copy of rounding up

Found on reading the whole change: seven settings were parsed and kept but decided nothing, an INVITE's trial mark and a class's worth were never read, the adapter rounded up in two places, and the windows asked twice whether an answer was quick.

--- a/src/main/java/coralcove/Choice.java
+++ b/src/main/java/coralcove/Choice.java
@@ -116,7 +116,7 @@
     private long tellAgainAt;
 
     /** What a class is to the decisions: class 2n is service n at its first try, 2n + 1 its redials. */
-    private record Service(long target, double worth, int width, long hold, boolean repeatable, double press,
+    private record Service(long target, int width, long hold, boolean repeatable, double press,
             List<Integer> pools) {}
 
     /** One service on one group: standing calls x, phantom calls y, and the targets of the last refresh. */
@@ -174,7 +174,7 @@
         }
     }
 
-    private record Invite(Far far, long sentAt, boolean trial) {}
+    private record Invite(Far far, long sentAt) {}
 
     /** What is remembered of a number called: its caller's first try, and until when its lines seem busy. */
     private static final class Called {
@@ -228,7 +228,7 @@
         int most = 1;
         for (int i = 0; i < services.length; i++) {
             Settings.Service it = given.get(i / 2);
-            services[i] = new Service(it.target(), worth(given, i), it.width(), it.hold(), it.repeatable(),
+            services[i] = new Service(it.target(), it.width(), it.hold(), it.repeatable(),
                     i == byWorth[0] && given.size() > 1 ? PRESS_HIGH : PRESS_LOW, it.pools());
             most = Math.max(most, it.width());
         }
@@ -503,7 +503,7 @@
     private Answer send(long now, Held it, Far far) {
         Session session = it.session;
         boolean trial = far.failures >= FAILURES;
-        it.invite = new Invite(far, now, trial);
+        it.invite = new Invite(far, now);
         it.sent++;
         it.tried.add(far);
         far.group.free -= session.width();
@@ -658,13 +658,14 @@
         far.slow = !quick;
         if (quick) {
             ownWindow = Math.min(OWN_MOST, ownWindow + 1 / ownWindow);
-        } else if (invite.sentAt >= ownCutAt && mostAreSlow()) {
+            far.window = Math.min(WINDOW_MOST, far.window + 1 / far.window);
+            return;
+        }
+        if (invite.sentAt >= ownCutAt && mostAreSlow()) {
             ownWindow = Math.max(OWN_LEAST, ownWindow * OWN_CUT);
             ownCutAt = now;
         }
-        if (quick) {
-            far.window = Math.min(WINDOW_MOST, far.window + 1 / far.window);
-        } else if (invite.sentAt >= far.cutAt) {
+        if (invite.sentAt >= far.cutAt) {
             far.window = Math.max(1, far.window * WINDOW_CUT);
             far.cutAt = now;
         }
--- a/src/main/java/coralcove/drill/Boot.java
+++ b/src/main/java/coralcove/drill/Boot.java
@@ -44,20 +44,14 @@
                     Math.max(1, down(holds.get(i))), get(at + "effect", "repeatable").equals("repeatable"),
                     pools(i)));
         }
-        List<Double> allowances = new ArrayList<>();
-        for (int i = 0; i < (int) number("tenants.count", 0); i++) {
-            allowances.add(number("tenants." + i + ".allowance_per_s", 0));
-        }
-        return new Settings((int) number("rank", 0), Integer.parseInt(need("balancers")),
-                Integer.parseInt(need("family_info.this_node")), get("family_info.layout", "mesh").equals("pools"),
-                services, allowances, Integer.parseInt(need("limits.try_limit")), flag("clients.marks_retry"),
-                flag("limits.retry_after"),
-                down(get("limits.max_retry_after", "0")), flag("limits.may_probe"), flag("limits.peers"),
-                flag("family_info.route_advice"), get("discovery", "pushed").equals("on_request"),
-                down(get("contract.ask_within", "0")), up(need("family_info.release_guard")),
-                up(get("family_info.resend", "0")), Double.parseDouble(need("contract.fall_multiple")),
+        return new Settings(Integer.parseInt(need("balancers")), Integer.parseInt(need("family_info.this_node")),
+                get("family_info.layout", "mesh").equals("pools"), services,
+                Integer.parseInt(need("limits.try_limit")), flag("clients.marks_retry"), flag("limits.retry_after"),
+                down(get("limits.max_retry_after", "0")), flag("limits.peers"),
+                get("discovery", "pushed").equals("on_request"), up(need("family_info.release_guard")),
+                Double.parseDouble(need("contract.fall_multiple")),
                 Math.max(1, up(need("contract.overload_for"))), Double.parseDouble(need("contract.cold_from")),
-                up(need("contract.warm_up")), list("report.columns"));
+                up(need("contract.warm_up")));
     }
 
     /** The pools of service i; the list of lists comes flat per service, or as one path per service. */
@@ -102,6 +96,6 @@
 
     /** Nanoseconds to microseconds: a wait is never shortened. */
     private static long up(String nanos) {
-        return -Math.floorDiv(-Long.parseLong(nanos), 1000L);
+        return Line.up(Long.parseLong(nanos));
     }
 }
--- a/src/test/java/coralcove/Desk.java
+++ b/src/test/java/coralcove/Desk.java
@@ -33,8 +33,8 @@
         List<Settings.Service> services = List.of(
                 new Settings.Service(1_000_000, 1, 0.1, 1, 10_000_000, true, List.of(1, 2)),
                 new Settings.Service(1_000_000, 4, 0.1, 1, 5_000_000, true, List.of()));
-        router = new Choice(new Settings(0, routers, pools ? -1 : 0, pools, services, List.of(), inviteLimit, true, true,
-                2_000_000, false, true, false, true, 0, 300_000, 0, 2, 2_000_000, 0.3, 10_000_000, List.of()),
+        router = new Choice(new Settings(routers, pools ? -1 : 0, pools, services, inviteLimit, true, true,
+                2_000_000, true, true, 300_000, 2, 2_000_000, 0.3, 10_000_000),
                 new SplittableRandom(1));
     }
 
