Keep each number's serving machine at hand; equal decisions for less work

Cause: finding the machine of a number walked all exchanges, and overflow did so for each group: about n squared steps a session at n exchanges. Now the roster's news sets it once.

--- a/src/main/java/coralcove/Choice.java
+++ b/src/main/java/coralcove/Choice.java
@@ -141,6 +141,8 @@
         int size;
         double beta;
         long refreshAt;
+        /** The machine that serves the number now: the ready one started last; kept, as every session asks. */
+        Far serving;
 
         Group(Service[] services) {
             loads = new Load[services.length];
@@ -376,6 +378,13 @@
                 far.window = FRESH_WINDOW;
             }
         }
+        groups.values().forEach(group -> group.serving = null);
+        for (Far far : exchanges.values()) {
+            Far other = far.group.serving;
+            if (far.ready && (other == null || far.since > other.since)) {
+                far.group.serving = far;
+            }
+        }
     }
 
     @Override
@@ -476,7 +485,7 @@
         Far best = null;
         double least = Double.POSITIVE_INFINITY;
         for (Group group : groups.values()) {
-            Far far = direct != null && group == direct.group ? null : ready(group);
+            Far far = direct != null && group == direct.group ? null : group.serving;
             if (far == null || far.number == ownNumber || it.tried.contains(far) || !allowed(service, far)
                     || group.turnedBack.getOrDefault(session.farEnd(), 0L) > now
                     || !open(now, far, PRESS_TANDEM) || group.free < FREE_FIRST_LEG * group.size
@@ -717,17 +726,6 @@
 
     private Far ready(int number) {
         Group group = groups.get(number);
-        return group == null ? null : ready(group);
-    }
-
-    /** The machine that serves a number now: the ready one started last. */
-    private Far ready(Group group) {
-        Far best = null;
-        for (Far far : exchanges.values()) {
-            if (far.group == group && far.ready && (best == null || far.since > best.since)) {
-                best = far;
-            }
-        }
-        return best;
+        return group == null ? null : group.serving;
     }
 }
