Prefer tandems known to lead to the far end; unknown ones that turn back rest ever longer

Cause: a third of the pairs have no group, and slopes tell of the first leg only: 20 to 60% of INVITEs went to tandems with no way on, each a load on three processors. Groups not used yet all had the same slope, so all routers piled up on the first number. Now a tandem that led there (a session stood, or a centre advised it) goes before one not known; an unknown one that turns back rests 4 s, doubling to 64 s; equal slopes go by circuits free. Also covers a tandem that lost its group to one far end. May hurt where a way is gone for good after it once stood: it keeps the 4 s rest.

--- a/src/main/java/coralcove/Choice.java
+++ b/src/main/java/coralcove/Choice.java
@@ -62,6 +62,8 @@
     private static final long FULL_HOLD = 300_000;
     /** µs: a tandem that turned a session back is not asked for that far end for this long. */
     private static final long TURNED_BACK_HOLD = 4_000_000;
+    /** Doublings of that hold at most, for a tandem that never led there: it may have no group to it. */
+    private static final int TURNED_BACK_DOUBLINGS = 4;
     /** µs: how often other routers are told of tight groups, if they changed; how long such news holds. */
     private static final long TELL_EVERY = 1_000_000;
     private static final long NEWS_FRESH = 6_000_000;
@@ -137,6 +139,9 @@
     private static final class Group {
         final Load[] loads;
         final Map<Integer, Long> turnedBack = new HashMap<>();
+        /** Far ends it has led to, and when that last showed: a session stood, or a centre advised it. */
+        final Map<Integer, Long> leadsTo = new HashMap<>();
+        final Map<Integer, Integer> turnsInARow = new HashMap<>();
         int free;
         int size;
         double beta;
@@ -307,6 +312,7 @@
             held.put(session.id(), it);
             if (!session.transit()) {
                 ownLoad.add(now, 1);
+                advised(now, session);
             }
             Far far = ready(session.farEnd());
             if (far != null) {
@@ -421,6 +427,14 @@
         }
     }
 
+    /** A centre's advice is old, but it had room on both legs: the tandem leads there. */
+    private void advised(long now, Session session) {
+        Group tandem = groups.get(session.advice());
+        if (tandem != null) {
+            tandem.leadsTo.put(session.farEnd(), now);
+        }
+    }
+
     private static int number(byte[] body, int at) {
         return body[at] & 0xff | (body[at + 1] & 0xff) << 8;
     }
@@ -483,6 +497,7 @@
         Session session = it.session;
         Service service = services[it.kind];
         Far best = null;
+        boolean bestLeads = false;
         double least = Double.POSITIVE_INFINITY;
         for (Group group : groups.values()) {
             Far far = direct != null && group == direct.group ? null : group.serving;
@@ -492,10 +507,13 @@
                     || test(now, group, it) != Test.PASS) {
                 continue;
             }
+            // A slope tells of the first leg only: one with no way on loads three processors for nothing.
+            boolean leads = group.leadsTo.containsKey(session.farEnd());
             double slope = slope(group, it);
-            if (slope < least) {
+            if (best == null || (leads == bestLeads ? betterLeg(slope, group, least, best.group) : leads)) {
                 least = slope;
                 best = far;
+                bestLeads = leads;
             }
         }
         if (best == null) {
@@ -505,6 +523,11 @@
         return send(now, it, best);
     }
 
+    /** Equal slopes, as of groups not used yet, go by circuits free: no common order for all to pile up on. */
+    private static boolean betterLeg(double slope, Group group, double least, Group best) {
+        return slope < least || slope == least && group.free > best.free;
+    }
+
     private boolean allowed(Service service, Far far) {
         return !pools || service.pools.isEmpty() || service.pools.contains(far.number);
     }
@@ -695,6 +718,9 @@
         Far far = it.invite.far;
         boolean wasSettingUp = far.settingUp.remove(session) != null;
         inFlight -= wasSettingUp ? 1 : 0;
+        if (ending == Ending.STANDS) {
+            far.group.leadsTo.put(it.session.farEnd(), now);
+        }
         boolean answered = ending == Ending.STANDS || ending == Ending.BUSY || ending == Ending.ERROR;
         if (ending == Ending.STANDS && numbers.containsKey(it.session.number())) {
             numbers.get(it.session.number()).gap = 0;
@@ -720,10 +746,15 @@
             linesBusy(now, it.session);
         }
         if (cause == Cause.TURNED_BACK || cause == Cause.FULL_BEYOND) {
-            far.group.turnedBack.put(it.session.farEnd(), now + TURNED_BACK_HOLD);
+            turnedBack(now, far.group, it.session.farEnd());
         }
     }
 
+    private void turnedBack(long now, Group tandem, int farEnd) {
+        int turns = tandem.leadsTo.containsKey(farEnd) ? 0 : tandem.turnsInARow.merge(farEnd, 1, Integer::sum) - 1;
+        tandem.turnedBack.put(farEnd, now + (TURNED_BACK_HOLD << Math.min(TURNED_BACK_DOUBLINGS, turns)));
+    }
+
     private Far ready(int number) {
         Group group = groups.get(number);
         return group == null ? null : group.serving;
--- a/src/test/java/coralcove/ChoiceTest.java
+++ b/src/test/java/coralcove/ChoiceTest.java
@@ -73,6 +73,21 @@
         desk.reads("overflow");
     }
 
+    @Test
+    void withoutAGroupATandemKnownToLeadThereGoesFirstAndAnUnknownOneRestsEverLonger() {
+        Desk desk = three().circuits(1, 0, 0).circuits(3, 40, 50);
+        desk.note("equal slopes: most circuits free").call(1, 0, 1);
+        desk.after(1, BUSY, TURNED_BACK, 40);
+        desk.after(1, BUSY, TURNED_BACK, 40);
+        desk.pass(4000).call(2, 0, 1);
+        desk.after(2, BUSY, TURNED_BACK, 40);
+        desk.after(2, STANDS, NONE, 40);
+        desk.pass(4000).note("2 rests for twice as long, 3 stood").call(3, 0, 1);
+        desk.pass(4000).call(4, 0, 1);
+        desk.note("a centre advises 2").advised(5, 1, 2);
+        desk.reads("ways-on");
+    }
+
     @Test
     void transitGoesOnlyToItsFarEndAndOnlyWhileTheGroupIsRoomy() {
         Desk desk = three();
--- a/src/test/java/coralcove/Desk.java
+++ b/src/test/java/coralcove/Desk.java
@@ -68,6 +68,10 @@
         return call(new Session(id, 0, 0, 1, 1, -1, false, number, redialled, cut, now, now + 3_000_000));
     }
 
+    Answer advised(long id, int farEnd, int tandem) {
+        return call(new Session(id, 0, 0, farEnd, 1, tandem, false, 0, false, false, now, now + 3_000_000));
+    }
+
     Desk peer(int... body) {
         router.peer(now, 1, bytes(body));
         return this;
