--- a/src/main/java/coralcove/Choice.java
+++ b/src/main/java/coralcove/Choice.java
@@ -685,19 +685,15 @@
         return 2 * slow > all;
     }
 
-    /**
-     * Grows by one for a window of quick answers, and is cut once for a window of slow ones. An INVITE without
-     * an answer cuts its exchange's window only: answers lost at many exchanges must not look like slowness
-     * of all, which would shut the common window while every processor is well.
-     */
-    private void pace(long now, Far far, Invite invite, boolean quick, boolean answered) {
-        far.slow = answered ? !quick : far.slow;
+    /** Grows by one for a window of quick answers, and is cut once for a window of slow ones. */
+    private void pace(long now, Far far, Invite invite, boolean quick) {
+        far.slow = !quick;
         if (quick) {
             ownWindow = Math.min(OWN_MOST, ownWindow + 1 / ownWindow);
             far.window = Math.min(WINDOW_MOST, far.window + 1 / far.window);
             return;
         }
-        if (answered && invite.sentAt >= ownCutAt && mostAreSlow()) {
+        if (invite.sentAt >= ownCutAt && mostAreSlow()) {
             ownWindow = Math.max(OWN_LEAST, ownWindow * OWN_CUT);
             ownCutAt = now;
         }
@@ -734,12 +730,12 @@
             // A busy reply is quick and says nothing good: a full processor must not widen its own window.
             if (ending == Ending.STANDS || cause == Cause.PROCESSOR_FULL) {
                 boolean quick = ending == Ending.STANDS && took < SLOW * services[it.kind].target;
-                pace(now, far, it.invite, quick, true);
+                pace(now, far, it.invite, quick);
             }
         } else if (wasSettingUp && (ending == Ending.TIMED_OUT || ending == Ending.UNREACHABLE
                 || ending == Ending.RESET)) {
             far.failures++;
-            pace(now, far, it.invite, false, false);
+            pace(now, far, it.invite, false);
             long wait = TRIAL_FIRST << Math.min(8, Math.max(0, far.failures - FAILURES));
             far.trialAt = now + Math.min(TRIAL_LONGEST, wait);
         }
