Tell peers which ways on are open, a bit a number, at a gap that grows with the fleet

Cause: the news told only of tight groups; a tandem without a group to a far end was never in it, so routers asked it again and again. A list of two bytes a number would not fit at ninety exchanges, and all telling all each second is quadratic work. Now a bit for each number says whether a session in transit there would go on (group, room and a ready machine), and each router hears about 20 messages a second at any size. Also covers tandems whose far end is gone. May hurt where numbers are far apart (over 2,000): those count as no way while the news is fresh.

--- a/src/main/java/coralcove/Choice.java
+++ b/src/main/java/coralcove/Choice.java
@@ -2,7 +2,6 @@
 
 import static coralcove.Exchange.Phase.READY;
 
-import java.io.ByteArrayOutputStream;
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.HashMap;
@@ -64,9 +63,13 @@
     private static final long TURNED_BACK_HOLD = 4_000_000;
     /** Doublings of that hold at most, for a tandem that never led there: it may have no group to it. */
     private static final int TURNED_BACK_DOUBLINGS = 4;
-    /** µs: how often other routers are told of tight groups, if they changed; how long such news holds. */
+    /** µs: how often other routers are told of ways on, if they changed: each router hears this many a second. */
     private static final long TELL_EVERY = 1_000_000;
-    private static final long NEWS_FRESH = 6_000_000;
+    private static final long NEWS_A_SECOND = 20;
+    /** Multiples of that gap for which news holds: two messages in a row may be lost. */
+    private static final long NEWS_FRESH = 6;
+    /** Bytes of the largest message. */
+    private static final int NEWS_BYTES = 256;
     /** µs: least wait, and as much again by chance, before a failed question to the directory is put anew. */
     private static final long SUBSCRIBE_AGAIN = 1_000_000;
     /** µs: a moment that does not come. */
@@ -113,6 +116,7 @@
     private long started = -1;
     private long subscribeAt;
     private final boolean peers;
+    private final long tellEvery;
     private byte[] told = {};
     private long tellAt;
     private long tellAgainAt;
@@ -142,6 +146,9 @@
         /** Far ends it has led to, and when that last showed: a session stood, or a centre advised it. */
         final Map<Integer, Long> leadsTo = new HashMap<>();
         final Map<Integer, Integer> turnsInARow = new HashMap<>();
+        /** The last news its router told of its own ways on, and until when that holds. */
+        byte[] news = {};
+        long newsUntil;
         int free;
         int size;
         double beta;
@@ -228,6 +235,8 @@
         subscribes = settings.subscribe();
         subscribeAt = subscribes ? 0 : NEVER;
         peers = settings.peers() && !pools;
+        // All tell all: at a fixed gap the work of listening would grow with the square of the fleet.
+        tellEvery = TELL_EVERY * Math.max(1, routers / NEWS_A_SECOND);
         marks = settings.redialsMarked();
         List<Settings.Service> given = settings.services();
         byWorth = order(given);
@@ -353,12 +362,12 @@
         }
         List<byte[]> tell = List.of();
         if (peers && now >= tellAt) {
-            byte[] news = tightGroups();
-            tellAt = now + TELL_EVERY;
+            byte[] news = waysOn();
+            tellAt = now + tellEvery;
             if (!Arrays.equals(news, told) || now >= tellAgainAt) {
                 tell = List.of(news);
                 told = news;
-                tellAgainAt = now + NEWS_FRESH / 2;
+                tellAgainAt = now + 3 * tellEvery;
             }
         }
         long until = Math.min(subscribeAt, peers ? tellAt : NEVER);
@@ -416,15 +425,14 @@
     @Override
     public void peer(long now, int rank, byte[] body) {
         begin(now);
-        Group tandem = body.length < 2 ? null : groups.get(number(body, 0));
+        Group tandem = body.length < 2 ? null : groups.get(body[0] & 0xff | (body[1] & 0xff) << 8);
         if (tandem == null) {
             return;
         }
-        // News says more than the last turning back, either way; a lost message ends with NEWS_FRESH.
+        // News says more than the last turning back, either way; a lost message ends with newsUntil.
         tandem.turnedBack.clear();
-        for (int i = 2; i + 1 < body.length; i += 2) {
-            tandem.turnedBack.put(number(body, i), now + NEWS_FRESH);
-        }
+        tandem.news = body;
+        tandem.newsUntil = now + NEWS_FRESH * tellEvery;
     }
 
     /** A centre's advice is old, but it had room on both legs: the tandem leads there. */
@@ -435,10 +443,6 @@
         }
     }
 
-    private static int number(byte[] body, int at) {
-        return body[at] & 0xff | (body[at + 1] & 0xff) << 8;
-    }
-
     @Override
     public void ended(long now, long session) {
         Held it = held.get(session);
@@ -447,18 +451,21 @@
         }
     }
 
-    /** Own number, then the numbers no overflow can reach over this exchange; two bytes each. */
-    private byte[] tightGroups() {
-        ByteArrayOutputStream out = new ByteArrayOutputStream();
-        out.write(ownNumber);
-        out.write(ownNumber >> 8);
+    /** Own number in two bytes, then a bit for each number: whether a session in transit there would go on. */
+    private byte[] waysOn() {
+        byte[] out = new byte[Math.min(NEWS_BYTES, groups.isEmpty() ? 2 : 3 + groups.lastKey() / 8)];
+        out[0] = (byte) ownNumber;
+        out[1] = (byte) (ownNumber >> 8);
         groups.forEach((number, group) -> {
-            if (group.size > 0 && !roomy(group)) {
-                out.write(number);
-                out.write(number >> 8);
+            if (2 + number / 8 < out.length && group.size > 0 && group.serving != null && roomy(group)) {
+                out[2 + number / 8] |= (byte) (1 << number % 8);
             }
         });
-        return out.toByteArray();
+        return out;
+    }
+
+    private static boolean bit(byte[] news, int number) {
+        return 2 + number / 8 < news.length && (news[2 + number / 8] & 1 << number % 8) != 0;
     }
 
     private void begin(long now) {
@@ -502,13 +509,13 @@
         for (Group group : groups.values()) {
             Far far = direct != null && group == direct.group ? null : group.serving;
             if (far == null || far.number == ownNumber || it.tried.contains(far) || !allowed(service, far)
-                    || group.turnedBack.getOrDefault(session.farEnd(), 0L) > now
+                    || closedBeyond(now, group, session.farEnd())
                     || !open(now, far, PRESS_TANDEM) || group.free < FREE_FIRST_LEG * group.size
                     || test(now, group, it) != Test.PASS) {
                 continue;
             }
             // A slope tells of the first leg only: one with no way on loads three processors for nothing.
-            boolean leads = group.leadsTo.containsKey(session.farEnd());
+            boolean leads = bit(group.news, session.farEnd()) || group.leadsTo.containsKey(session.farEnd());
             double slope = slope(group, it);
             if (best == null || (leads == bestLeads ? betterLeg(slope, group, least, best.group) : leads)) {
                 least = slope;
@@ -523,6 +530,11 @@
         return send(now, it, best);
     }
 
+    private static boolean closedBeyond(long now, Group tandem, int farEnd) {
+        return tandem.turnedBack.getOrDefault(farEnd, 0L) > now
+                || now < tandem.newsUntil && !bit(tandem.news, farEnd);
+    }
+
     /** Equal slopes, as of groups not used yet, go by circuits free: no common order for all to pile up on. */
     private static boolean betterLeg(double slope, Group group, double least, Group best) {
         return slope < least || slope == least && group.free > best.free;
--- a/src/test/java/coralcove/ChoiceTest.java
+++ b/src/test/java/coralcove/ChoiceTest.java
@@ -239,15 +239,18 @@
     }
 
     @Test
-    void routersTellEachOtherOfGroupsTooTightForOverflow() {
+    void routersTellEachOtherWhichWaysOnAreOpen() {
         Desk desk = three();
         desk.circuits(1, 0, 50).circuits(2, 9, 50).tells().tells();
         desk.pass(1000).tells().pass(2000).note("nothing new, but news grows old").tells();
         desk.circuits(2, 40, 50).pass(1000).tells();
         desk.load(100, 20, 0, 3, 10).call(1, 0, 1);
-        desk.note("2 tells that its group to 1 is tight").peer(2, 0, 1, 0).call(2, 0, 1);
-        desk.note("and 3 too").peer(3, 0, 1, 0).call(3, 0, 1);
-        desk.note("2 has room again; odd messages say nothing").peer(2, 0).peer(3).peer().peer(9, 9, 1).call(4, 0, 1);
+        desk.note("2 tells that it has no way to 1").peer(2, 0, 0xfd).call(2, 0, 1);
+        desk.note("and 3 too").peer(3, 0, 0xfd).call(3, 0, 1);
+        desk.note("2 has a way again; odd messages say nothing").peer(2, 0, 2).peer(3).peer().peer(9, 9, 1).call(4, 0, 1);
+        desk.after(1, STANDS, NONE, 50);
+        desk.after(4, STANDS, NONE, 50);
+        desk.pass(6000).note("old news holds nothing back, but the way it told of goes first").call(5, 0, 1);
         desk.reads("peers");
     }
 
