Ask tandems not known to lead to a far end only while none is known (tried: every way ever told counts)

An unknown tandem is now asked only while none is known, also when the known are closed for the moment. May hurt where few are known and all of them are closed: such sessions are refused at once.

--- a/src/main/java/coralcove/Choice.java
+++ b/src/main/java/coralcove/Choice.java
@@ -148,6 +148,7 @@
         final Map<Integer, Integer> turnsInARow = new HashMap<>();
         /** The last news its router told of its own ways on, and until when that holds. */
         byte[] news = {};
+        byte[] led = {};
         long newsUntil;
         int free;
         int size;
@@ -432,6 +433,11 @@
         // News says more than the last turning back, either way; a lost message ends with newsUntil.
         tandem.turnedBack.clear();
         tandem.news = body;
+        // A way told of once was no lack of a group, whatever fills it now.
+        tandem.led = Arrays.copyOf(tandem.led, Math.max(tandem.led.length, body.length));
+        for (int i = 2; i < body.length; i++) {
+            tandem.led[i] |= body[i];
+        }
         tandem.newsUntil = now + NEWS_FRESH * tellEvery;
     }
 
@@ -504,23 +510,20 @@
         Session session = it.session;
         Service service = services[it.kind];
         Far best = null;
-        boolean bestLeads = false;
         double least = Double.POSITIVE_INFINITY;
+        boolean known = wayKnown(session.farEnd());
         for (Group group : groups.values()) {
             Far far = direct != null && group == direct.group ? null : group.serving;
             if (far == null || far.number == ownNumber || it.tried.contains(far) || !allowed(service, far)
-                    || closedBeyond(now, group, session.farEnd())
+                    || known && !leads(group, session.farEnd()) || closedBeyond(now, group, session.farEnd())
                     || !open(now, far, PRESS_TANDEM) || group.free < FREE_FIRST_LEG * group.size
                     || test(now, group, it) != Test.PASS) {
                 continue;
             }
-            // A slope tells of the first leg only: one with no way on loads three processors for nothing.
-            boolean leads = bit(group.news, session.farEnd()) || group.leadsTo.containsKey(session.farEnd());
             double slope = slope(group, it);
-            if (best == null || (leads == bestLeads ? betterLeg(slope, group, least, best.group) : leads)) {
+            if (best == null || betterLeg(slope, group, least, best.group)) {
                 least = slope;
                 best = far;
-                bestLeads = leads;
             }
         }
         if (best == null) {
@@ -530,6 +533,23 @@
         return send(now, it, best);
     }
 
+    /**
+     * A slope tells of the first leg only; a tandem without a way on loads three processors for nothing. Once one
+     * is known to lead to a far end, those not known are not asked, also while it is closed.
+     */
+    private boolean wayKnown(int farEnd) {
+        for (Group group : groups.values()) {
+            if (leads(group, farEnd)) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    private static boolean leads(Group tandem, int farEnd) {
+        return bit(tandem.led, farEnd) || tandem.leadsTo.containsKey(farEnd);
+    }
+
     private static boolean closedBeyond(long now, Group tandem, int farEnd) {
         return tandem.turnedBack.getOrDefault(farEnd, 0L) > now
                 || now < tandem.newsUntil && !bit(tandem.news, farEnd);
