Ask unknown tandems beside known ones only while half of such asks lead on

Cause: a hard "known only" needs an exception for full meshes, where nearly every tandem has a way on; and a direct session that stood had counted as a way over its own far end (found by a trace test). Each router now learns what share of its asks of unknown tandems led on.

--- a/src/main/java/coralcove/Choice.java
+++ b/src/main/java/coralcove/Choice.java
@@ -63,6 +63,9 @@
     private static final long TURNED_BACK_HOLD = 4_000_000;
     /** Doublings of that hold at most, for a tandem that never led there: it may have no group to it. */
     private static final int TURNED_BACK_DOUBLINGS = 4;
+    /** Share of unknown tandems that must lead on for them to be asked beside known ones; weight of the newest. */
+    private static final double UNKNOWN_LEAD = 0.5;
+    private static final double UNKNOWN_STEP = 0.1;
     /** µs: how often other routers are told of ways on, if they changed: each router hears this many a second. */
     private static final long TELL_EVERY = 1_000_000;
     private static final long NEWS_A_SECOND = 20;
@@ -108,6 +111,7 @@
     private final Map<Long, Far> exchanges = new LinkedHashMap<>();
     private final TreeMap<Integer, Group> groups = new TreeMap<>();
     private final Map<Long, Held> held = new HashMap<>();
+    private double unknownLead = UNKNOWN_LEAD;
     private int inFlight;
     private double ownWindow = OWN_FIRST;
     private long ownCutAt;
@@ -148,7 +152,6 @@
         final Map<Integer, Integer> turnsInARow = new HashMap<>();
         /** The last news its router told of its own ways on, and until when that holds. */
         byte[] news = {};
-        byte[] led = {};
         long newsUntil;
         int free;
         int size;
@@ -433,11 +436,6 @@
         // News says more than the last turning back, either way; a lost message ends with newsUntil.
         tandem.turnedBack.clear();
         tandem.news = body;
-        // A way told of once was no lack of a group, whatever fills it now.
-        tandem.led = Arrays.copyOf(tandem.led, Math.max(tandem.led.length, body.length));
-        for (int i = 2; i < body.length; i++) {
-            tandem.led[i] |= body[i];
-        }
         tandem.newsUntil = now + NEWS_FRESH * tellEvery;
     }
 
@@ -511,11 +509,11 @@
         Service service = services[it.kind];
         Far best = null;
         double least = Double.POSITIVE_INFINITY;
-        boolean known = wayKnown(session.farEnd());
+        boolean knownOnly = unknownLead < UNKNOWN_LEAD && wayKnown(session.farEnd());
         for (Group group : groups.values()) {
             Far far = direct != null && group == direct.group ? null : group.serving;
             if (far == null || far.number == ownNumber || it.tried.contains(far) || !allowed(service, far)
-                    || known && !leads(group, session.farEnd()) || closedBeyond(now, group, session.farEnd())
+                    || knownOnly && !leads(group, session.farEnd()) || closedBeyond(now, group, session.farEnd())
                     || !open(now, far, PRESS_TANDEM) || group.free < FREE_FIRST_LEG * group.size
                     || test(now, group, it) != Test.PASS) {
                 continue;
@@ -534,8 +532,8 @@
     }
 
     /**
-     * A slope tells of the first leg only; a tandem without a way on loads three processors for nothing. Once one
-     * is known to lead to a far end, those not known are not asked, also while it is closed.
+     * A slope tells of the first leg only; a tandem without a way on loads three processors for nothing. While few
+     * unknown ones lead on, they are asked only where none is known, also when the known are closed.
      */
     private boolean wayKnown(int farEnd) {
         for (Group group : groups.values()) {
@@ -547,7 +545,7 @@
     }
 
     private static boolean leads(Group tandem, int farEnd) {
-        return bit(tandem.led, farEnd) || tandem.leadsTo.containsKey(farEnd);
+        return bit(tandem.news, farEnd) || tandem.leadsTo.containsKey(farEnd);
     }
 
     private static boolean closedBeyond(long now, Group tandem, int farEnd) {
@@ -750,7 +748,8 @@
         Far far = it.invite.far;
         boolean wasSettingUp = far.settingUp.remove(session) != null;
         inFlight -= wasSettingUp ? 1 : 0;
-        if (ending == Ending.STANDS) {
+        if (ending == Ending.STANDS && far.number != it.session.farEnd()) {
+            learnUnknown(far.group, it.session.farEnd(), 1);
             far.group.leadsTo.put(it.session.farEnd(), now);
         }
         boolean answered = ending == Ending.STANDS || ending == Ending.BUSY || ending == Ending.ERROR;
@@ -782,7 +781,12 @@
         }
     }
 
+    private void learnUnknown(Group tandem, int farEnd, int led) {
+        unknownLead += leads(tandem, farEnd) ? 0 : UNKNOWN_STEP * (led - unknownLead);
+    }
+
     private void turnedBack(long now, Group tandem, int farEnd) {
+        learnUnknown(tandem, farEnd, 0);
         int turns = tandem.leadsTo.containsKey(farEnd) ? 0 : tandem.turnsInARow.merge(farEnd, 1, Integer::sum) - 1;
         tandem.turnedBack.put(farEnd, now + (TURNED_BACK_HOLD << Math.min(TURNED_BACK_DOUBLINGS, turns)));
     }
