Let a tandem take sessions in transit down to a tenth free on the second leg; tell of ways at a fifth

Cause: on groups of four to eight circuits a fifth and twice the widest service is most of the group, and news a few seconds old told of ways that had just fallen under it: half of the INVITEs over tandems were turned back after two processors had worked on them. Now the tandem takes what passes its test while a tenth is free, and tells others of a way only from the old mark on, so that news has room to age. May hurt first-choice sessions of a tight group a little.

--- a/src/main/java/coralcove/Choice.java
+++ b/src/main/java/coralcove/Choice.java
@@ -32,6 +32,7 @@
     private static final double FREE_OWN = 0.06;
     /** The share a tandem's first leg must have free; the second leg, tested there, keeps the fifth. */
     private static final double FREE_FIRST_LEG = 0.1;
+    private static final double FREE_SECOND_LEG = 0.1;
     /** Buckets of the rings of load and of phantoms: steps of half a second and of a hold's thirtieth. */
     private static final int LOAD_BUCKETS = 20;
     private static final int PHANTOM_BUCKETS = 30;
@@ -490,7 +491,7 @@
             // In a mesh every way ends at the far end; another pool can serve what the first choice cannot.
             return pools ? overflow(now, it, direct) : refuse(now, it, direct);
         }
-        if (session.transit() && !roomy(direct.group)) {
+        if (session.transit() && direct.group.free < FREE_SECOND_LEG * direct.group.size) {
             return refuse(now, it, direct);
         }
         if (!session.transit() && it.sent > 0) {
