--- a/src/test/java/coralcove/ChoiceTest.java
+++ b/src/test/java/coralcove/ChoiceTest.java
@@ -92,7 +92,7 @@
     void transitGoesOnlyToItsFarEndAndOnlyWhileATenthIsFree() {
         Desk desk = three();
         desk.circuits(1, 12, 50).transit(1, 0, 1);
-        desk.pass(4000).circuits(1, 6, 50).transit(2, 0, 1);
+        desk.pass(5000).circuits(1, 6, 50).transit(2, 0, 1);
         desk.circuits(1, 4, 50).note("under a tenth free").transit(4, 0, 1);
         desk.circuits(1, 0, 50).transit(3, 1, 1);
         desk.after(1, BUSY, PROCESSOR_FULL, 40);
