--- a/src/main/java/coralcove/Choice.java
+++ b/src/main/java/coralcove/Choice.java
@@ -23,8 +23,6 @@
     private static final double EPSILON = 0.05;
     /** µs: span over which a service's rate on a group is counted (design). */
     private static final long RATE_WINDOW = 10_000_000;
-    /** µs: the least such span, at the start. */
-    private static final long RATE_LEAST = 2_000_000;
     /** µs: age at which a group's targets are worked out anew (design). */
     private static final long REFRESH = 5_000_000;
     /** Share of a group, and multiples of the widest service, that must be free to take anything (design). */
@@ -661,8 +659,7 @@
     /** The fractional knapsack by falling value per circuit, and what follows from it. */
     private void refresh(long now, Group group) {
         group.refreshAt = now + REFRESH;
-        // One call in the first moments is no rate of hundreds: the start would be judged as an overload.
-        double span = Math.max(RATE_LEAST, Math.min(RATE_WINDOW, now - started));
+        double span = Math.max(1, Math.min(RATE_WINDOW, now - started));
         double left = group.size / (1 + 4 * EPSILON);
         double least = Double.POSITIVE_INFINITY;
         for (int index : byWorth) {
