--- a/src/main/java/coralcove/Choice.java
+++ b/src/main/java/coralcove/Choice.java
@@ -39,6 +39,8 @@
     // The guards' figures.
     /** Share of the post-dial target past which a set-up is slow: the rest is for what queues up then. */
     private static final double SLOW = 0.3;
+    /** Share of the post-dial target that a set-up takes where nothing is slow, two legs and queues included. */
+    private static final double SET_UP = 0.2;
     /** Share of a window open to a tandem's leg, to low value or what stands late, and to the highest. */
     private static final double PRESS_TANDEM = 0.4;
     private static final double PRESS_LOW = 0.5;
@@ -215,6 +217,7 @@
         final int kind;
         Invite invite;
         int sent;
+        boolean lost;
         long notBefore;
         final List<Far> tried = new ArrayList<>();
 
@@ -494,7 +497,7 @@
         if (session.transit() && direct.group.free < FREE_SECOND_LEG * direct.group.size) {
             return refuse(now, it, direct);
         }
-        if (!session.transit() && it.sent > 0) {
+        if (!session.transit() && it.sent > 0 && !it.lost) {
             return overflow(now, it, direct);
         }
         return switch (test(now, direct.group, it)) {
@@ -575,7 +578,19 @@
         inFlight++;
         far.sends.add(now, 1);
         long left = session.limit() - now;
-        return Answer.send(far.id, trial ? Math.min(left, services[it.kind].target) : left);
+        return Answer.send(far.id, trial ? Math.min(left, services[it.kind].target) : patience(now, it, far, left));
+    }
+
+    /**
+     * An exchange whose last answer was quick either answers soon or not at all: waiting to the caller's time
+     * earns nothing and holds circuits. What is left of the target must pay for the release wait and a new
+     * set-up; a slow exchange, a session in transit or one past its target is waited for.
+     */
+    private long patience(long now, Held it, Far far, long left) {
+        long target = services[it.kind].target;
+        long wait = it.session.arrived() + target - now - releaseWait - (long) (SET_UP * target);
+        boolean resend = it.kind % 2 == 0 && services[it.kind].repeatable && it.sent < inviteLimit;
+        return resend && !far.slow && !it.session.transit() && wait >= SLOW * target ? Math.min(left, wait) : left;
     }
 
     private Answer refuse(long now, Held it, Far direct) {
@@ -596,6 +611,7 @@
         boolean ran = ending == Ending.TIMED_OUT || ending == Ending.RESET || ending == Ending.CANCELLED;
         if (ran) {
             it.notBefore = now + releaseWait;
+            it.lost = ending == Ending.TIMED_OUT;
         }
         if ((ran || ending == Ending.ERROR) && !service.repeatable) {
             held.remove(it.session.id());
@@ -604,7 +620,7 @@
         // The own processor down: each INVITE comes back at once; a session would spend them all in a moment.
         boolean ownDown = ending == Ending.NOT_SENT && cause == Cause.PROCESSOR_FULL;
         boolean hopeless = ownDown || cause == Cause.FULL_BEYOND || cause == Cause.LINES_BUSY
-                || far.number == it.session.farEnd() && ending != Ending.NOT_SENT
+                || far.number == it.session.farEnd() && ending != Ending.NOT_SENT && ending != Ending.TIMED_OUT
                 || Math.max(now, it.notBefore) > it.session.arrived() + service.target
                 // A redial may be left less time than the release wait: waiting would lose its answer.
                 || Math.max(now, it.notBefore) + TOO_LATE > it.session.limit()
@@ -767,7 +783,10 @@
         } else if (wasSettingUp && (ending == Ending.TIMED_OUT || ending == Ending.UNREACHABLE
                 || ending == Ending.RESET)) {
             far.failures++;
-            pace(now, far, it.invite, false);
+            // One alone may be an answer lost on its way; narrowing at each would shut exchanges that are well.
+            if (far.failures > 1 || far.slow) {
+                pace(now, far, it.invite, false);
+            }
             long wait = TRIAL_FIRST << Math.min(8, Math.max(0, far.failures - FAILURES));
             far.trialAt = now + Math.min(TRIAL_LONGEST, wait);
         }
