--- a/src/main/java/coralcove/Choice.java
+++ b/src/main/java/coralcove/Choice.java
@@ -39,6 +39,9 @@
     // The guards' figures.
     /** Share of the post-dial target past which a set-up is slow: the rest is for what queues up then. */
     private static final double SLOW = 0.3;
+    /** Share of INVITEs unanswered by exchanges in order above which answers get lost; weight of the newest. */
+    private static final double LOST_SHARE = 0.08;
+    private static final double LOST_STEP = 0.02;
     /** Share of the post-dial target that a set-up takes where nothing is slow, two legs and queues included. */
     private static final double SET_UP = 0.2;
     /** Share of a window open to a tandem's leg, to low value or what stands late, and to the highest. */
@@ -114,6 +117,7 @@
     private final Map<Long, Far> exchanges = new LinkedHashMap<>();
     private final TreeMap<Integer, Group> groups = new TreeMap<>();
     private final Map<Long, Held> held = new HashMap<>();
+    private double lostShare;
     private double unknownLead = UNKNOWN_LEAD;
     private int inFlight;
     private double ownWindow = OWN_FIRST;
@@ -582,15 +586,19 @@
     }
 
     /**
-     * An exchange whose last answer was quick either answers soon or not at all: waiting to the caller's time
-     * earns nothing and holds circuits. What is left of the target must pay for the release wait and a new
-     * set-up; a slow exchange, a session in transit or one past its target is waited for.
+     * While answers get lost, an exchange whose last answer was quick answers soon or not at all: waiting to the
+     * caller's time earns nothing and holds circuits. What is left of the target must pay for the release wait
+     * and a new set-up; a slow exchange, a session in transit or one past its target is waited for.
      */
     private long patience(long now, Held it, Far far, long left) {
         long target = services[it.kind].target;
         long wait = it.session.arrived() + target - now - releaseWait - (long) (SET_UP * target);
         boolean resend = it.kind % 2 == 0 && services[it.kind].repeatable && it.sent < inviteLimit;
-        return resend && !far.slow && !it.session.transit() && wait >= SLOW * target ? Math.min(left, wait) : left;
+        return lossy() && resend && !far.slow && !it.session.transit() && wait >= SLOW * target ? Math.min(left, wait) : left;
+    }
+
+    private boolean lossy() {
+        return lostShare > LOST_SHARE;
     }
 
     private Answer refuse(long now, Held it, Far direct) {
@@ -611,7 +619,7 @@
         boolean ran = ending == Ending.TIMED_OUT || ending == Ending.RESET || ending == Ending.CANCELLED;
         if (ran) {
             it.notBefore = now + releaseWait;
-            it.lost = ending == Ending.TIMED_OUT;
+            it.lost = ending != Ending.CANCELLED && lossy();
         }
         if ((ran || ending == Ending.ERROR) && !service.repeatable) {
             held.remove(it.session.id());
@@ -620,7 +628,7 @@
         // The own processor down: each INVITE comes back at once; a session would spend them all in a moment.
         boolean ownDown = ending == Ending.NOT_SENT && cause == Cause.PROCESSOR_FULL;
         boolean hopeless = ownDown || cause == Cause.FULL_BEYOND || cause == Cause.LINES_BUSY
-                || far.number == it.session.farEnd() && ending != Ending.NOT_SENT && ending != Ending.TIMED_OUT
+                || far.number == it.session.farEnd() && ending != Ending.NOT_SENT && !it.lost
                 || Math.max(now, it.notBefore) > it.session.arrived() + service.target
                 // A redial may be left less time than the release wait: waiting would lose its answer.
                 || Math.max(now, it.notBefore) + TOO_LATE > it.session.limit()
@@ -774,6 +782,7 @@
             numbers.get(it.session.number()).gap = 0;
         }
         if (answered && wasSettingUp) {
+            lostShare -= LOST_STEP * lostShare;
             far.failures = 0;
             // A busy reply is quick and says nothing good: a full processor must not widen its own window.
             if (ending == Ending.STANDS || cause == Cause.PROCESSOR_FULL) {
@@ -782,9 +791,11 @@
             }
         } else if (wasSettingUp && (ending == Ending.TIMED_OUT || ending == Ending.UNREACHABLE
                 || ending == Ending.RESET)) {
+            // One that just answered does not hang: a second failure in a row tells nothing of losses.
+            lostShare += far.failures == 0 && !far.slow ? LOST_STEP * (1 - lostShare) : 0;
             far.failures++;
             // One alone may be an answer lost on its way; narrowing at each would shut exchanges that are well.
-            if (far.failures > 1 || far.slow) {
+            if (far.failures > 1 || far.slow || !lossy()) {
                 pace(now, far, it.invite, false);
             }
             long wait = TRIAL_FIRST << Math.min(8, Math.max(0, far.failures - FAILURES));
