--- a/src/main/java/coralcove/Choice.java
+++ b/src/main/java/coralcove/Choice.java
@@ -56,6 +56,9 @@
     private static final double OWN_MOST = 64;
     private static final double OWN_LEAST = 2;
     private static final double OWN_CUT = 0.85;
+    /** Share of slow answers from which most are slow; weight of the newest. */
+    private static final double MOST = 0.5;
+    private static final double SLOW_STEP = 0.05;
     /** What a slow answer leaves of the window. */
     private static final double WINDOW_CUT = 0.5;
     /** INVITEs in a row without an answer that close an exchange: two can be chance, more costs circuits. */
@@ -117,6 +120,8 @@
     private final Map<Long, Far> exchanges = new LinkedHashMap<>();
     private final TreeMap<Integer, Group> groups = new TreeMap<>();
     private final Map<Long, Held> held = new HashMap<>();
+    private double slowShare;
+    private Far lastPaced;
     private double lostShare;
     private double unknownLead = UNKNOWN_LEAD;
     private int inFlight;
@@ -727,28 +732,21 @@
                 && inFlight < Math.max(1, ownWindow * press);
     }
 
-    /** A few hung or slow exchanges must not close the way to the others; most slow is the own processor. */
-    private boolean mostAreSlow() {
-        int slow = 0;
-        int all = 0;
-        for (Far far : exchanges.values()) {
-            if (far.ready && far.number != ownNumber) {
-                slow += far.slow ? 1 : 0;
-                all++;
-            }
-        }
-        return 2 * slow > all;
-    }
-
     /** Grows by one for a window of quick answers, and is cut once for a window of slow ones. */
-    private void pace(long now, Far far, Invite invite, boolean quick) {
+    private void pace(long now, Far far, Invite invite, boolean quick, boolean answered) {
         far.slow = !quick;
+        // A few hung or slow exchanges must not close the way to the others; most slow is the own processor. In a
+        // large fleet each exchange's last answer is old: the newest answers tell more, one an exchange in turn.
+        if (answered && far != lastPaced) {
+            slowShare += SLOW_STEP * ((quick ? 0 : 1) - slowShare);
+            lastPaced = far;
+        }
         if (quick) {
             ownWindow = Math.min(OWN_MOST, ownWindow + 1 / ownWindow);
             far.window = Math.min(WINDOW_MOST, far.window + 1 / far.window);
             return;
         }
-        if (invite.sentAt >= ownCutAt && mostAreSlow()) {
+        if (invite.sentAt >= ownCutAt && slowShare > MOST) {
             ownWindow = Math.max(OWN_LEAST, ownWindow * OWN_CUT);
             ownCutAt = now;
         }
@@ -787,7 +785,7 @@
             // A busy reply is quick and says nothing good: a full processor must not widen its own window.
             if (ending == Ending.STANDS || cause == Cause.PROCESSOR_FULL) {
                 boolean quick = ending == Ending.STANDS && took < SLOW * services[it.kind].target;
-                pace(now, far, it.invite, quick);
+                pace(now, far, it.invite, quick, true);
             }
         } else if (wasSettingUp && (ending == Ending.TIMED_OUT || ending == Ending.UNREACHABLE
                 || ending == Ending.RESET)) {
@@ -796,7 +794,7 @@
             far.failures++;
             // One alone may be an answer lost on its way; narrowing at each would shut exchanges that are well.
             if (far.failures > 1 || far.slow || !lossy()) {
-                pace(now, far, it.invite, false);
+                pace(now, far, it.invite, false, false);
             }
             long wait = TRIAL_FIRST << Math.min(8, Math.max(0, far.failures - FAILURES));
             far.trialAt = now + Math.min(TRIAL_LONGEST, wait);
--- a/src/test/java/coralcove/ChoiceTest.java
+++ b/src/test/java/coralcove/ChoiceTest.java
@@ -167,6 +167,22 @@
         desk.reads("failures");
     }
 
+    @Test
+    void whileAnswersGetLostAnInviteEndsEarlyEnoughToBeSentAgainInTime() {
+        Desk desk = three();
+        for (int id = 1; id <= 8; id++) {
+            desk.call(id, 0, 1 + id % 3);
+            desk.pass(id < 6 ? 3000 : 500).after(id, TIMED_OUT, NONE, id < 6 ? 3000 : 500, id < 6);
+            if (id >= 6) {
+                desk.pass(300).again(id);
+                desk.pass(50).after(id, STANDS, NONE, 50);
+            } else {
+                desk.load(100 * id, 1, 0, 1 + id % 3, 500);
+            }
+        }
+        desk.reads("lost");
+    }
+
     @Test
     void slowSetUpsNarrowTheWindowAndQuickOnesWidenIt() {
         Desk desk = three();
