Leave overdue INVITEs out of the common window while few answers are slow

Told from slowness by the share of slow answers, under a fifth. Covers hung far ends as well. May hurt when the own processor stops dead before it has shown slow answers.

--- a/src/main/java/coralcove/Choice.java
+++ b/src/main/java/coralcove/Choice.java
@@ -2,6 +2,7 @@
 
 import static coralcove.Exchange.Phase.READY;
 
+import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.HashMap;
@@ -56,8 +57,9 @@
     private static final double OWN_MOST = 64;
     private static final double OWN_LEAST = 2;
     private static final double OWN_CUT = 0.85;
-    /** Share of slow answers from which most are slow; weight of the newest. */
+    /** Share of slow answers from which most are slow, and under which few are; weight of the newest. */
     private static final double MOST = 0.5;
+    private static final double FEW = 0.2;
     private static final double SLOW_STEP = 0.05;
     /** What a slow answer leaves of the window. */
     private static final double WINDOW_CUT = 0.5;
@@ -125,6 +127,9 @@
     private double lostShare;
     private double unknownLead = UNKNOWN_LEAD;
     private int inFlight;
+    private int overdues;
+    private final ArrayDeque<Invite> out = new ArrayDeque<>();
+    private final long overdue;
     private double ownWindow = OWN_FIRST;
     private long ownCutAt;
     private final boolean marks;
@@ -204,7 +209,17 @@
         }
     }
 
-    private record Invite(Far far, long sentAt) {}
+    private static final class Invite {
+        final Far far;
+        final long sentAt;
+        boolean ended;
+        boolean overdue;
+
+        Invite(Far far, long sentAt) {
+            this.far = far;
+            this.sentAt = sentAt;
+        }
+    }
 
     /** What is remembered of a number called: its caller's first try, and until when its lines seem busy. */
     private static final class Called {
@@ -266,6 +281,7 @@
             most = Math.max(most, it.width());
         }
         widest = most;
+        overdue = given.stream().mapToLong(Settings.Service::target).min().orElse(0);
     }
 
     /** Classes by falling value per circuit; equal ones in the order of the settings. */
@@ -585,6 +601,7 @@
         far.group.loads[it.kind].standing++;
         far.settingUp.put(session.id(), it.invite);
         inFlight++;
+        out.add(it.invite);
         far.sends.add(now, 1);
         long left = session.limit() - now;
         return Answer.send(far.id, trial ? Math.min(left, services[it.kind].target) : patience(now, it, far, left));
@@ -720,6 +737,19 @@
 
     // ---- what a processor shows
 
+    /**
+     * INVITEs in flight from here that may wait at the own processor. While few answers are slow, one out for
+     * longer than the shortest target waits for a far end that hangs or a lost answer, and fills no window.
+     */
+    private int inFlight(long now) {
+        while (!out.isEmpty() && (out.peek().ended || now - out.peek().sentAt > overdue)) {
+            Invite invite = out.poll();
+            invite.overdue = !invite.ended;
+            overdues += invite.overdue ? 1 : 0;
+        }
+        return slowShare < FEW ? inFlight - overdues : inFlight;
+    }
+
     /** Whether a processor may get one more set-up: by budget, failures, named wait and windows. */
     private boolean open(long now, Far far, double press) {
         if (now < far.holdUntil || !withinBudget(now, far)) {
@@ -729,7 +759,7 @@
             return now >= far.trialAt && far.settingUp.isEmpty();
         }
         return far.settingUp.size() < Math.max(1, far.window * press)
-                && inFlight < Math.max(1, ownWindow * press);
+                && inFlight(now) < Math.max(1, ownWindow * press);
     }
 
     /** Grows by one for a window of quick answers, and is cut once for a window of slow ones. */
@@ -771,6 +801,8 @@
         Far far = it.invite.far;
         boolean wasSettingUp = far.settingUp.remove(session) != null;
         inFlight -= wasSettingUp ? 1 : 0;
+        overdues -= wasSettingUp && it.invite.overdue ? 1 : 0;
+        it.invite.ended = true;
         if (ending == Ending.STANDS && far.number != it.session.farEnd()) {
             learnUnknown(far.group, it.session.farEnd(), 1);
             far.group.leadsTo.put(it.session.farEnd(), now);
