--- a/src/main/java/coralcove/Choice.java
+++ b/src/main/java/coralcove/Choice.java
@@ -816,9 +816,7 @@
             far.failures = 0;
             // A busy reply is quick and says nothing good: a full processor must not widen its own window.
             if (ending == Ending.STANDS || cause == Cause.PROCESSOR_FULL) {
-                // A tandem's answer has passed one more processor: by one leg's mark every overflow would be slow.
-                int legs = far.number == it.session.farEnd() ? 1 : 2;
-                boolean quick = ending == Ending.STANDS && took < SLOW * legs * services[it.kind].target;
+                boolean quick = ending == Ending.STANDS && took < SLOW * services[it.kind].target;
                 pace(now, far, it.invite, quick, true);
             }
         } else if (wasSettingUp && (ending == Ending.TIMED_OUT || ending == Ending.UNREACHABLE
