--- a/src/main/java/coralcove/Choice.java
+++ b/src/main/java/coralcove/Choice.java
@@ -395,7 +395,7 @@
         }
         List<byte[]> tell = List.of();
         if (peers && now >= tellAt) {
-            byte[] news = waysOn();
+            byte[] news = waysOn(now);
             tellAt = now + tellEvery;
             if (!Arrays.equals(news, told) || now >= tellAgainAt) {
                 tell = List.of(news);
@@ -485,12 +485,14 @@
     }
 
     /** Own number in two bytes, then a bit for each number: whether a session in transit there would go on. */
-    private byte[] waysOn() {
+    private byte[] waysOn(long now) {
         byte[] out = new byte[Math.min(NEWS_BYTES, groups.isEmpty() ? 2 : 3 + groups.lastKey() / 8)];
         out[0] = (byte) ownNumber;
         out[1] = (byte) (ownNumber >> 8);
+        // A pressed processor turns transit back only after two have worked on it: it tells of no ways at all.
+        boolean pressed = inFlight(now) >= ownWindow * PRESS_TANDEM;
         groups.forEach((number, group) -> {
-            if (2 + number / 8 < out.length && group.size > 0 && group.serving != null && roomy(group)) {
+            if (!pressed && 2 + number / 8 < out.length && group.size > 0 && group.serving != null && roomy(group)) {
                 out[2 + number / 8] |= (byte) (1 << number % 8);
             }
         });
--- a/src/test/java/coralcove/ChoiceTest.java
+++ b/src/test/java/coralcove/ChoiceTest.java
@@ -271,6 +271,19 @@
         desk.reads("peers");
     }
 
+    @Test
+    void aPressedRouterTellsOfNoWaysOn() {
+        Desk desk = three();
+        for (int id = 1; id <= 7; id++) {
+            desk.call(id, 1, 1 + id % 3);
+        }
+        desk.tells().pass(1000).note("no longer pressed");
+        for (int id = 1; id <= 7; id++) {
+            desk.after(id, STANDS, NONE, 100);
+        }
+        desk.tells().reads("pressed");
+    }
+
     @Test
     void aDirectoryThatFailsIsAskedAgainAfterAWhile() {
         new Desk().tells().tells().lost().tells().pass(999).tells().pass(1001).tells().tells().reads("directory");
