--- a/src/main/java/coralcove/Choice.java
+++ b/src/main/java/coralcove/Choice.java
@@ -77,9 +77,9 @@
     /** Share of unknown tandems that must lead on for them to be asked beside known ones; weight of the newest. */
     private static final double UNKNOWN_LEAD = 0.5;
     private static final double UNKNOWN_STEP = 0.1;
-    /** µs: how often other routers are told of ways on, if they changed: each router hears this many a second. */
+    /** µs: how often peers are told of ways on, if changed, and messages a second each hears: each costs work. */
     private static final long TELL_EVERY = 1_000_000;
-    private static final long NEWS_A_SECOND = 20;
+    private static final long NEWS_A_SECOND = 10;
     /** Multiples of that gap for which news holds: two messages in a row may be lost. */
     private static final long NEWS_FRESH = 6;
     /** Bytes of the largest message. */
