Keep the cold budget at any number of routers: under one set-up a window means more windows

Now a part under one waits for as many windows as make one. Covers mass restarts and ageing with many cold at once.

--- a/src/main/java/coralcove/Choice.java
+++ b/src/main/java/coralcove/Choice.java
@@ -92,6 +92,8 @@
     private static final double FRESH_WINDOW = 2;
     /** Multiple of the budget reckoned from own callers' rate, which understates an exchange's speed. */
     private static final double COLD_SHARE = 3;
+    /** The least part of a set-up a window, for a router that has had no callers yet. */
+    private static final double LEAST_PART = 0.05;
     /** Share of the post-dial target after which a caller is asked back, to have a try left in time. */
     private static final double COME_BACK = 0.3;
     /** Share of the post-dial target, since a caller's first try, past which a set-up would end late. */
@@ -196,6 +198,7 @@
         long since;
         int failures;
         long trialAt;
+        long sentAt = -NEVER / 2;
         long holdUntil;
         double window = WINDOW_FIRST;
         long cutAt;
@@ -605,6 +608,7 @@
         inFlight++;
         out.add(it.invite);
         far.sends.add(now, 1);
+        far.sentAt = now;
         long left = session.limit() - now;
         return Answer.send(far.id, trial ? Math.min(left, services[it.kind].target) : patience(now, it, far, left));
     }
@@ -795,7 +799,9 @@
         }
         double rate = ownLoad.sum(now) / Math.max(1, Math.min(RATE_WINDOW, now - started)) * 1e6;
         double budget = coldBudget * rate / Math.max(1, routers - 1);
-        return far.sends.sum(now) + 1 <= Math.max(1, budget);
+        // In a large fleet one set-up each a window would be too many together: less than one means more windows.
+        return budget < 1 ? now - far.sentAt >= fallWindow / Math.max(LEAST_PART, budget)
+                : far.sends.sum(now) + 1 <= budget;
     }
 
     private void settled(long now, long session, Held it, Ending ending, Cause cause, long took,
--- a/src/test/java/coralcove/ChoiceTest.java
+++ b/src/test/java/coralcove/ChoiceTest.java
@@ -149,6 +149,14 @@
         desk.reads("fresh");
     }
 
+    @Test
+    void inALargeFleetAFreshExchangeGetsLessThanOneSetUpAWindowFromEach() {
+        Desk desk = new Desk(4, 90).roster(READY, 0, 0, 1, 2, 3).circuits(1, 50, 50).circuits(2, 50, 50);
+        desk.load(1, 100, 0, 2, 100);
+        desk.roster(READY, desk.now(), 1).load(200, 95, 0, 1, 100);
+        desk.load(300, 20, 0, 1, 100).reads("fresh-large");
+    }
+
     @Test
     void failuresInARowCloseAnExchangeUntilATrialIsAnswered() {
         Desk desk = three();
