--- a/src/main/java/coralcove/Choice.java
+++ b/src/main/java/coralcove/Choice.java
@@ -769,12 +769,11 @@
     }
 
     /** Grows by one for a window of quick answers, and is cut once for a window of slow ones. */
-    private void pace(long now, Far far, Invite invite, boolean quick, boolean stood) {
+    private void pace(long now, Far far, Invite invite, boolean quick, boolean answered) {
         far.slow = !quick;
         // A few hung or slow exchanges must not close the way to the others; most slow is the own processor. In a
         // large fleet each exchange's last answer is old: the newest answers tell more, one an exchange in turn.
-        // A full processor or a time-out tells of the far end alone.
-        if (stood && far != lastPaced) {
+        if (answered && far != lastPaced) {
             slowShare += SLOW_STEP * ((quick ? 0 : 1) - slowShare);
             lastPaced = far;
         }
@@ -826,7 +825,7 @@
             // A busy reply is quick and says nothing good: a full processor must not widen its own window.
             if (ending == Ending.STANDS || cause == Cause.PROCESSOR_FULL) {
                 boolean quick = ending == Ending.STANDS && took < SLOW * services[it.kind].target;
-                pace(now, far, it.invite, quick, ending == Ending.STANDS);
+                pace(now, far, it.invite, quick, true);
             }
         } else if (wasSettingUp && (ending == Ending.TIMED_OUT || ending == Ending.UNREACHABLE
                 || ending == Ending.RESET)) {
