--- a/src/main/java/coralcove/Choice.java
+++ b/src/main/java/coralcove/Choice.java
@@ -70,7 +70,6 @@
     private static final long TRIAL_LONGEST = 2_000_000;
     /** µs: hold-back after a full processor that names no wait: about what drains between two answers. */
     private static final long FULL_HOLD = 300_000;
-    private static final int FULL_DOUBLINGS = 3;
     /** µs: a tandem that turned a session back is not asked for that far end for this long. */
     private static final long TURNED_BACK_HOLD = 4_000_000;
     /** Doublings of that hold at most, for a tandem that never led there: it may have no group to it. */
@@ -198,7 +197,6 @@
         boolean ready;
         long since;
         int failures;
-        int fulls;
         long trialAt;
         long sentAt = -NEVER / 2;
         long holdUntil;
@@ -813,9 +811,6 @@
         inFlight -= wasSettingUp ? 1 : 0;
         overdues -= wasSettingUp && it.invite.overdue ? 1 : 0;
         it.invite.ended = true;
-        if (ending == Ending.STANDS) {
-            far.fulls = 0;
-        }
         if (ending == Ending.STANDS && far.number != it.session.farEnd()) {
             learnUnknown(far.group, it.session.farEnd(), 1);
             far.group.leadsTo.put(it.session.farEnd(), now);
@@ -845,9 +840,7 @@
             far.trialAt = now + Math.min(TRIAL_LONGEST, wait);
         }
         if (cause == Cause.PROCESSOR_FULL && ending == Ending.BUSY) {
-            // All routers come back after the same hold, each reply is work too: the hold doubles till one stands.
-            far.holdUntil = now + (namedWait > 0 ? namedWait : FULL_HOLD << Math.min(FULL_DOUBLINGS, far.fulls));
-            far.fulls++;
+            far.holdUntil = now + (namedWait > 0 ? namedWait : FULL_HOLD);
         }
         if (cause == Cause.LINES_BUSY) {
             linesBusy(now, it.session);
