Use no exchange as a tandem for 4 s after it was slow, full or silent

Direct sessions still show when it is quick again. Covers all troubles that slow or silence a processor. May hurt in a mesh where most exchanges are slow: overflow then stops, which was so already by the windows.

--- a/src/main/java/coralcove/Choice.java
+++ b/src/main/java/coralcove/Choice.java
@@ -72,6 +72,8 @@
     private static final long FULL_HOLD = 300_000;
     /** µs: a tandem that turned a session back is not asked for that far end for this long. */
     private static final long TURNED_BACK_HOLD = 4_000_000;
+    /** µs: one that answered slowly, was full or did not answer is no tandem for this long, or until it is quick. */
+    private static final long SLOW_TANDEM_HOLD = 4_000_000;
     /** Doublings of that hold at most, for a tandem that never led there: it may have no group to it. */
     private static final int TURNED_BACK_DOUBLINGS = 4;
     /** Share of unknown tandems that must lead on for them to be asked beside known ones; weight of the newest. */
@@ -203,6 +205,8 @@
         double window = WINDOW_FIRST;
         long cutAt;
         boolean slow;
+        /** A slow processor needs no sessions of others in transit, and there are many tandems. */
+        long noTandemUntil;
 
         Far(long id, int number, Group group, Ring sends) {
             this.id = id;
@@ -548,7 +552,7 @@
             Far far = direct != null && group == direct.group ? null : group.serving;
             if (far == null || far.number == ownNumber || it.tried.contains(far) || !allowed(service, far)
                     || knownOnly && !leads(group, session.farEnd()) || closedBeyond(now, group, session.farEnd())
-                    || !open(now, far, PRESS_TANDEM) || group.free < FREE_FIRST_LEG * group.size
+                    || now < far.noTandemUntil || !open(now, far, PRESS_TANDEM) || group.free < FREE_FIRST_LEG * group.size
                     || test(now, group, it) != Test.PASS) {
                 continue;
             }
@@ -771,6 +775,7 @@
     /** Grows by one for a window of quick answers, and is cut once for a window of slow ones. */
     private void pace(long now, Far far, Invite invite, boolean quick, boolean answered) {
         far.slow = !quick;
+        far.noTandemUntil = quick ? 0 : now + SLOW_TANDEM_HOLD;
         // A few hung or slow exchanges must not close the way to the others; most slow is the own processor. In a
         // large fleet each exchange's last answer is old: the newest answers tell more, one an exchange in turn.
         if (answered && far != lastPaced) {
