--- a/src/main/java/coralcove/Choice.java
+++ b/src/main/java/coralcove/Choice.java
@@ -84,6 +84,8 @@
     private static final long NEWS_A_SECOND = 10;
     /** Multiples of that gap for which news holds: two messages in a row may be lost. */
     private static final long NEWS_FRESH = 6;
+    /** Widest services that must fit into a group told as a way on: all who hear of it may send there at once. */
+    private static final int TOLD_WIDTHS = 6;
     /** Bytes of the largest message. */
     private static final int NEWS_BYTES = 256;
     /** µs: least wait, and as much again by chance, before a failed question to the directory is put anew. */
@@ -499,7 +501,8 @@
         // A pressed processor turns transit back only after two have worked on it: it tells of no ways at all.
         boolean pressed = inFlight(now) >= ownWindow * PRESS_TANDEM;
         groups.forEach((number, group) -> {
-            if (!pressed && 2 + number / 8 < out.length && group.size > 0 && group.serving != null && roomy(group)) {
+            if (!pressed && 2 + number / 8 < out.length && group.serving != null && roomy(group)
+                    && group.free >= TOLD_WIDTHS * widest) {
                 out[2 + number / 8] |= (byte) (1 << number % 8);
             }
         });
