--- a/src/main/java/coralcove/Choice.java
+++ b/src/main/java/coralcove/Choice.java
@@ -629,9 +629,7 @@
         long target = services[it.kind].target;
         long wait = it.session.arrived() + target - now - releaseWait - (long) (SET_UP * target);
         boolean resend = it.kind % 2 == 0 && services[it.kind].repeatable && it.sent < inviteLimit;
-        boolean early = lossy() && resend && !far.slow && !it.session.transit() && wait >= SLOW * target;
-        // While few answers are slow, what has not come by the target will hardly come: it is known sooner.
-        return Math.min(left, early ? wait : slowShare < FEW && !far.slow ? target : left);
+        return lossy() && resend && !far.slow && !it.session.transit() && wait >= SLOW * target ? Math.min(left, wait) : left;
     }
 
     private boolean lossy() {
