--- a/src/main/java/coralcove/Choice.java
+++ b/src/main/java/coralcove/Choice.java
@@ -550,7 +550,6 @@
         Service service = services[it.kind];
         Far best = null;
         double least = Double.POSITIVE_INFINITY;
-        boolean bestFresh = false;
         boolean knownOnly = unknownLead < UNKNOWN_LEAD && wayKnown(session.farEnd());
         for (Group group : groups.values()) {
             Far far = direct != null && group == direct.group ? null : group.serving;
@@ -561,11 +560,9 @@
                 continue;
             }
             double slope = slope(group, it);
-            boolean fresh = now - group.leadsTo.getOrDefault(session.farEnd(), -NEVER / 2) < TURNED_BACK_HOLD;
-            if (best == null || (fresh == bestFresh ? betterLeg(slope, group, least, best.group) : fresh)) {
+            if (best == null || betterLeg(slope, group, least, best.group)) {
                 least = slope;
                 best = far;
-                bestFresh = fresh;
             }
         }
         if (best == null) {
