--- a/src/main/java/coralcove/Choice.java
+++ b/src/main/java/coralcove/Choice.java
@@ -493,29 +493,24 @@
         }
     }
 
-    /**
-     * Own number in two bytes, then two bits for each number: whether a session in transit there would go on that
-     * found its direct group full, and one that has no direct group: it has no other way, and needs less room.
-     */
+    /** Own number in two bytes, then a bit for each number: whether a session in transit there would go on. */
     private byte[] waysOn(long now) {
-        byte[] out = new byte[Math.min(NEWS_BYTES, groups.isEmpty() ? 2 : 3 + groups.lastKey() / 4)];
+        byte[] out = new byte[Math.min(NEWS_BYTES, groups.isEmpty() ? 2 : 3 + groups.lastKey() / 8)];
         out[0] = (byte) ownNumber;
         out[1] = (byte) (ownNumber >> 8);
         // A pressed processor turns transit back only after two have worked on it: it tells of no ways at all.
         boolean pressed = inFlight(now) >= ownWindow * PRESS_TANDEM;
         groups.forEach((number, group) -> {
-            if (!pressed && 2 + number / 4 < out.length && group.serving != null && roomy(group)) {
-                int bits = group.free >= TOLD_WIDTHS * widest ? 3 : 2;
-                out[2 + number / 4] |= (byte) (bits << 2 * (number % 4));
+            if (!pressed && 2 + number / 8 < out.length && group.serving != null && roomy(group)
+                    && group.free >= TOLD_WIDTHS * widest) {
+                out[2 + number / 8] |= (byte) (1 << number % 8);
             }
         });
         return out;
     }
 
-    private boolean told(byte[] news, int number) {
-        Group direct = groups.get(number);
-        int bit = direct == null || direct.size > 0 ? 1 : 2;
-        return 2 + number / 4 < news.length && (news[2 + number / 4] & bit << 2 * (number % 4)) != 0;
+    private static boolean bit(byte[] news, int number) {
+        return 2 + number / 8 < news.length && (news[2 + number / 8] & 1 << number % 8) != 0;
     }
 
     private void begin(long now) {
@@ -590,13 +585,13 @@
         return false;
     }
 
-    private boolean leads(Group tandem, int farEnd) {
-        return told(tandem.news, farEnd) || tandem.leadsTo.containsKey(farEnd);
+    private static boolean leads(Group tandem, int farEnd) {
+        return bit(tandem.news, farEnd) || tandem.leadsTo.containsKey(farEnd);
     }
 
-    private boolean closedBeyond(long now, Group tandem, int farEnd) {
+    private static boolean closedBeyond(long now, Group tandem, int farEnd) {
         return tandem.turnedBack.getOrDefault(farEnd, 0L) > now
-                || now < tandem.newsUntil && !told(tandem.news, farEnd);
+                || now < tandem.newsUntil && !bit(tandem.news, farEnd);
     }
 
     /** Equal slopes, as of groups not used yet, go by circuits free: no common order for all to pile up on. */
