--- a/src/main/java/coralcove/Choice.java
+++ b/src/main/java/coralcove/Choice.java
@@ -95,7 +95,7 @@
     /** INVITEs in flight to a fresh exchange, to start with; its answers widen this like any window. */
     private static final double FRESH_WINDOW = 2;
     /** Multiple of the budget reckoned from own callers' rate, which understates an exchange's speed. */
-    private static final double COLD_SHARE = 7;
+    private static final double COLD_SHARE = 3;
     /** The least part of a set-up a window, for a router that has had no callers yet. */
     private static final double LEAST_PART = 0.05;
     /** Share of the post-dial target after which a caller is asked back, to have a try left in time. */
