--- a/src/main/java/coralcove/Choice.java
+++ b/src/main/java/coralcove/Choice.java
@@ -74,8 +74,6 @@
     private static final long TURNED_BACK_HOLD = 4_000_000;
     /** µs: one that answered slowly, was full or did not answer is no tandem for this long, or until it is quick. */
     private static final long SLOW_TANDEM_HOLD = 4_000_000;
-    /** INVITEs of a session after which no further tandem is asked: each turning back was work for two. */
-    private static final int TANDEMS_MOST = 2;
     /** Doublings of that hold at most, for a tandem that never led there: it may have no group to it. */
     private static final int TURNED_BACK_DOUBLINGS = 4;
     /** Share of unknown tandems that must lead on for them to be asked beside known ones; weight of the newest. */
@@ -549,9 +547,6 @@
     /** A session whose direct group is full tries the tandem whose first leg passes with the least slope. */
     private Answer overflow(long now, Held it, Far direct) {
         Session session = it.session;
-        if (it.sent >= TANDEMS_MOST) {
-            return refuse(now, it, direct);
-        }
         Service service = services[it.kind];
         Far best = null;
         double least = Double.POSITIVE_INFINITY;
