--- a/src/main/java/coralcove/Choice.java
+++ b/src/main/java/coralcove/Choice.java
@@ -61,9 +61,6 @@
     private static final double MOST = 0.5;
     private static final double FEW = 0.2;
     private static final double SLOW_STEP = 0.05;
-    /** INVITEs in flight to a slow exchange from all routers, at least; µs: the longest rest between two. */
-    private static final double LEAST_IN_ALL = 6;
-    private static final double REST_MOST = 16_000_000;
     /** What a slow answer leaves of the window. */
     private static final double WINDOW_CUT = 0.5;
     /** INVITEs in a row without an answer that close an exchange: two can be chance, more costs circuits. */
@@ -139,7 +136,6 @@
     private int overdues;
     private final ArrayDeque<Invite> out = new ArrayDeque<>();
     private final long overdue;
-    private final double leastWindow;
     private double ownWindow = OWN_FIRST;
     private long ownCutAt;
     private final boolean marks;
@@ -213,7 +209,6 @@
         boolean slow;
         /** A slow processor needs no sessions of others in transit, and there are many tandems. */
         long noTandemUntil;
-        long restUntil;
 
         Far(long id, int number, Group group, Ring sends) {
             this.id = id;
@@ -295,7 +290,6 @@
             most = Math.max(most, it.width());
         }
         widest = most;
-        leastWindow = Math.min(1, LEAST_IN_ALL / Math.max(1, routers - 1));
         overdue = given.stream().mapToLong(Settings.Service::target).min().orElse(0);
     }
 
@@ -777,7 +771,7 @@
         if (far.failures >= FAILURES) {
             return now >= far.trialAt && far.settingUp.isEmpty();
         }
-        return now >= far.restUntil && far.settingUp.size() < Math.max(1, far.window * press)
+        return far.settingUp.size() < Math.max(1, far.window * press)
                 && inFlight(now) < Math.max(1, ownWindow * press);
     }
 
@@ -793,8 +787,7 @@
         }
         if (quick) {
             ownWindow = Math.min(OWN_MOST, ownWindow + 1 / ownWindow);
-            far.window = Math.min(WINDOW_MOST, Math.max(1, far.window + 1 / far.window));
-            far.restUntil = 0;
+            far.window = Math.min(WINDOW_MOST, far.window + 1 / far.window);
             return;
         }
         if (invite.sentAt >= ownCutAt && slowShare > MOST) {
@@ -802,10 +795,8 @@
             ownCutAt = now;
         }
         if (invite.sentAt >= far.cutAt) {
-            far.window = Math.max(leastWindow, far.window * WINDOW_CUT);
+            far.window = Math.max(1, far.window * WINDOW_CUT);
             far.cutAt = now;
-            // One INVITE in flight from each of many routers swamps a slow exchange: under one is a rest.
-            far.restUntil = now + (long) Math.min(REST_MOST, (1 / Math.min(1, far.window) - 1) * (now - invite.sentAt));
         }
     }
 
