Leave a quarter of the windows to tandems' first legs, not 0.4

Cause: each two-group session loads three processors, and in the grown deployments half the INVITEs are such. Covers every trouble that makes processors scarce. May hurt where processors are idle and circuits are all that lacks.

--- a/src/main/java/coralcove/Choice.java
+++ b/src/main/java/coralcove/Choice.java
@@ -46,8 +46,10 @@
     /** Share of the post-dial target that a set-up takes where nothing is slow, two legs and queues included. */
     private static final double SET_UP = 0.2;
     /** Share of a window open to a tandem's leg, to low value or what stands late, and to the highest. */
-    private static final double PRESS_TANDEM = 0.4;
+    private static final double PRESS_TANDEM = 0.25;
     private static final double PRESS_LOW = 0.5;
+    /** Share of the common window in use from which peers are told of no ways on. */
+    private static final double PRESS_TOLD = 0.4;
     private static final double PRESS_HIGH = 1;
     /** INVITEs in flight to one exchange: to start with, and the most; above this it is never the limit. */
     private static final double WINDOW_FIRST = 4;
@@ -499,7 +501,7 @@
         out[0] = (byte) ownNumber;
         out[1] = (byte) (ownNumber >> 8);
         // A pressed processor turns transit back only after two have worked on it: it tells of no ways at all.
-        boolean pressed = inFlight(now) >= ownWindow * PRESS_TANDEM;
+        boolean pressed = inFlight(now) >= ownWindow * PRESS_TOLD;
         groups.forEach((number, group) -> {
             if (!pressed && 2 + number / 8 < out.length && group.serving != null && roomy(group)
                     && group.free >= TOLD_WIDTHS * widest) {
--- a/src/test/java/coralcove/ChoiceTest.java
+++ b/src/test/java/coralcove/ChoiceTest.java
@@ -284,8 +284,8 @@
         desk.load(100, 20, 0, 3, 10).call(1, 0, 1);
         desk.note("2 tells that it has no way to 1").peer(2, 0, 0xfd).call(2, 0, 1);
         desk.note("and 3 too").peer(3, 0, 0xfd).call(3, 0, 1);
-        desk.note("2 has a way again; odd messages say nothing").peer(2, 0, 2).peer(3).peer().peer(9, 9, 1).call(4, 0, 1);
         desk.after(1, STANDS, NONE, 50);
+        desk.note("2 has a way again; odd messages say nothing").peer(2, 0, 2).peer(3).peer().peer(9, 9, 1).call(4, 0, 1);
         desk.after(4, STANDS, NONE, 50);
         desk.pass(6000).note("old news holds nothing back, but the way it told of goes first").call(5, 0, 1);
         desk.reads("peers");
