--- a/src/main/java/coralcove/Choice.java
+++ b/src/main/java/coralcove/Choice.java
@@ -6,10 +6,12 @@
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.TreeMap;
 import java.util.random.RandomGenerator;
 
@@ -172,8 +174,8 @@
     private static final class Group {
         final Load[] loads;
         final Map<Integer, Long> turnedBack = new HashMap<>();
-        /** Far ends it has led to, and when that last showed: a session stood, or a centre advised it. */
-        final Map<Integer, Long> leadsTo = new HashMap<>();
+        /** Far ends it has led to: a session stood, or a centre advised it. */
+        final Set<Integer> leadsTo = new HashSet<>();
         final Map<Integer, Integer> turnsInARow = new HashMap<>();
         /** The last news its router told of its own ways on, and until when that holds. */
         byte[] news = {};
@@ -365,7 +367,7 @@
             held.put(session.id(), it);
             if (!session.transit()) {
                 ownLoad.add(now, 1);
-                advised(now, session);
+                advised(session);
             }
             Far far = ready(session.farEnd());
             if (far != null) {
@@ -480,10 +482,10 @@
     }
 
     /** A centre's advice is old, but it had room on both legs: the tandem leads there. */
-    private void advised(long now, Session session) {
+    private void advised(Session session) {
         Group tandem = groups.get(session.advice());
         if (tandem != null) {
-            tandem.leadsTo.put(session.farEnd(), now);
+            tandem.leadsTo.add(session.farEnd());
         }
     }
 
@@ -588,7 +590,7 @@
     }
 
     private static boolean leads(Group tandem, int farEnd) {
-        return bit(tandem.news, farEnd) || tandem.leadsTo.containsKey(farEnd);
+        return bit(tandem.news, farEnd) || tandem.leadsTo.contains(farEnd);
     }
 
     private static boolean closedBeyond(long now, Group tandem, int farEnd) {
@@ -823,7 +825,7 @@
         it.invite.ended = true;
         if (ending == Ending.STANDS && far.number != it.session.farEnd()) {
             learnUnknown(far.group, it.session.farEnd(), 1);
-            far.group.leadsTo.put(it.session.farEnd(), now);
+            far.group.leadsTo.add(it.session.farEnd());
         }
         boolean answered = ending == Ending.STANDS || ending == Ending.BUSY || ending == Ending.ERROR;
         if (ending == Ending.STANDS && numbers.containsKey(it.session.number())) {
@@ -866,7 +868,7 @@
 
     private void turnedBack(long now, Group tandem, int farEnd) {
         learnUnknown(tandem, farEnd, 0);
-        int turns = tandem.leadsTo.containsKey(farEnd) ? 0 : tandem.turnsInARow.merge(farEnd, 1, Integer::sum) - 1;
+        int turns = tandem.leadsTo.contains(farEnd) ? 0 : tandem.turnsInARow.merge(farEnd, 1, Integer::sum) - 1;
         tandem.turnedBack.put(farEnd, now + (TURNED_BACK_HOLD << Math.min(TURNED_BACK_DOUBLINGS, turns)));
     }
 
