--- a/src/main/java/coralcove/Choice.java
+++ b/src/main/java/coralcove/Choice.java
@@ -514,7 +514,7 @@
     }
 
     private static boolean bit(byte[] news, int number) {
-        return 2 + number / 8 < news.length && (news[2 + number / 8] & 1 << number % 8) != 0;
+        return number >= 0 && 2 + number / 8 < news.length && (news[2 + number / 8] & 1 << number % 8) != 0;
     }
 
     private void begin(long now) {
--- a/src/test/java/coralcove/ChoiceTest.java
+++ b/src/test/java/coralcove/ChoiceTest.java
@@ -56,6 +56,7 @@
         desk.circuits(2, 0, 0).note("no group to 2").call(2, 0, 2);
         desk.note("number 9 is on no list").call(3, 0, 9);
         desk.circuits(3, 0, 50).circuits(1, 0, 50).note("all groups full").call(4, 1, 3);
+        desk.circuits(2, 40, 50).peer(2, 0, 0xff).note("an odd far end, after news of ways on").call(6, 0, -100);
         new Desk().call(5, 0, 1);
         desk.reads("degenerate");
     }
