--- a/src/main/java/coralcove/Choice.java
+++ b/src/main/java/coralcove/Choice.java
@@ -781,8 +781,7 @@
 
     /** Grows by one for a window of quick answers, and is cut once for a window of slow ones. */
     private void pace(long now, Far far, Invite invite, boolean quick, boolean answered) {
-        // A time-out does not show a slow processor: it would hide from lostShare all losses after the first.
-        far.slow = answered ? !quick : far.slow;
+        far.slow = !quick;
         far.noTandemUntil = quick ? 0 : now + SLOW_TANDEM_HOLD;
         // A few hung or slow exchanges must not close the way to the others; most slow is the own processor. In a
         // large fleet each exchange's last answer is old: the newest answers tell more, one an exchange in turn.
