Let no INVITE older than an exchange's closing put off or lengthen the wait for its trial

Now only a trial counts as one. Covers every closing by overlapping INVITEs. May hurt nothing seen: trials are one at a time.

--- a/src/main/java/coralcove/Choice.java
+++ b/src/main/java/coralcove/Choice.java
@@ -206,6 +206,9 @@
         long since;
         int failures;
         long trialAt;
+        /** The one trial in flight while closed, and how many in a row had no answer. */
+        Invite trial;
+        int trials;
         long sentAt = -NEVER / 2;
         long holdUntil;
         double window = WINDOW_FIRST;
@@ -611,6 +614,7 @@
         Session session = it.session;
         boolean trial = far.failures >= FAILURES;
         it.invite = new Invite(far, now);
+        far.trial = trial ? it.invite : far.trial;
         it.sent++;
         it.tried.add(far);
         far.group.free -= session.width();
@@ -773,7 +777,7 @@
             return false;
         }
         if (far.failures >= FAILURES) {
-            return now >= far.trialAt && far.settingUp.isEmpty();
+            return now >= far.trialAt && far.trial == null;
         }
         return far.settingUp.size() < Math.max(1, far.window * press)
                 && inFlight(now) < Math.max(1, ownWindow * press);
@@ -820,6 +824,8 @@
             long namedWait) {
         Far far = it.invite.far;
         boolean wasSettingUp = far.settingUp.remove(session) != null;
+        boolean tried = far.trial == it.invite;
+        far.trial = tried ? null : far.trial;
         inFlight -= wasSettingUp ? 1 : 0;
         overdues -= wasSettingUp && it.invite.overdue ? 1 : 0;
         it.invite.ended = true;
@@ -834,6 +840,7 @@
         if (answered && wasSettingUp) {
             lostShare -= LOST_STEP * lostShare;
             far.failures = 0;
+            far.trials = 0;
             // A busy reply is quick and says nothing good: a full processor must not widen its own window.
             if (ending == Ending.STANDS || cause == Cause.PROCESSOR_FULL) {
                 boolean quick = ending == Ending.STANDS && took < SLOW * services[it.kind].target;
@@ -848,8 +855,12 @@
             if (far.failures > 1 || far.slow || !lossy()) {
                 pace(now, far, it.invite, false, false);
             }
-            long wait = TRIAL_FIRST << Math.min(8, Math.max(0, far.failures - FAILURES));
-            far.trialAt = now + Math.min(TRIAL_LONGEST, wait);
+            far.trials += tried ? 1 : 0;
+            // INVITEs older than the closing are no trials: they must neither put the next one off nor lengthen
+            // its wait, or lost answers, some out for seconds, keep the only way to a far end shut.
+            if (tried || far.failures == FAILURES) {
+                far.trialAt = now + Math.min(TRIAL_LONGEST, TRIAL_FIRST << Math.min(8, far.trials));
+            }
         }
         if (cause == Cause.PROCESSOR_FULL && ending == Ending.BUSY) {
             far.holdUntil = now + (namedWait > 0 ? namedWait : FULL_HOLD);
--- a/src/test/java/coralcove/ChoiceTest.java
+++ b/src/test/java/coralcove/ChoiceTest.java
@@ -204,6 +204,23 @@
         desk.reads("lost");
     }
 
+    @Test
+    void invitesOlderThanTheClosingPutNoTrialOff() {
+        Desk desk = three();
+        for (int id = 1; id <= 4; id++) {
+            desk.call(id, 1, 1);
+        }
+        for (int id = 1; id <= 3; id++) {
+            desk.after(id, TIMED_OUT, NONE, 900);
+        }
+        desk.pass(500).note("the fourth is still out").call(5, 1, 1);
+        desk.after(4, TIMED_OUT, NONE, 900);
+        desk.pass(1000).after(5, TIMED_OUT, NONE, 1000);
+        desk.pass(900).call(6, 1, 1);
+        desk.pass(100).note("one failed trial: 1 s").call(7, 1, 1);
+        desk.reads("trials");
+    }
+
     @Test
     void slowSetUpsNarrowTheWindowAndQuickOnesWidenIt() {
         Desk desk = three();
