--- a/src/main/java/coralcove/Choice.java
+++ b/src/main/java/coralcove/Choice.java
@@ -42,10 +42,10 @@
     // The guards' figures.
     /** Share of the post-dial target past which a set-up is slow: the rest is for what queues up then. */
     private static final double SLOW = 0.3;
-    /** Share of INVITEs unanswered by exchanges in order above which answers get lost; weight of the newest. */
+    /** Share of INVITEs unanswered by exchanges in order that tells of lost answers; weight of the newest. */
     private static final double LOST_SHARE = 0.08;
     private static final double LOST_STEP = 0.02;
-    /** Share of the post-dial target that a set-up takes where nothing is slow, two legs and queues included. */
+    /** Share of the post-dial target that a set-up takes where nothing is slow, two legs and queues too. */
     private static final double SET_UP = 0.2;
     /** Share of a window open to a tandem's leg, to low value or what stands late, and to the highest. */
     private static final double PRESS_TANDEM = 0.25;
@@ -76,19 +76,19 @@
     private static final long FULL_HOLD = 300_000;
     /** µs: a tandem that turned a session back is not asked for that far end for this long. */
     private static final long TURNED_BACK_HOLD = 4_000_000;
-    /** µs: one that answered slowly, was full or did not answer is no tandem for this long, or until it is quick. */
+    /** µs: one that was slow, full or silent is no tandem for this long, or until it is quick. */
     private static final long SLOW_TANDEM_HOLD = 4_000_000;
     /** Doublings of that hold at most, for a tandem that never led there: it may have no group to it. */
     private static final int TURNED_BACK_DOUBLINGS = 4;
-    /** Share of unknown tandems that must lead on for them to be asked beside known ones; weight of the newest. */
+    /** Share of unknown tandems that must lead on to be asked beside known ones; weight of the newest. */
     private static final double UNKNOWN_LEAD = 0.5;
     private static final double UNKNOWN_STEP = 0.1;
-    /** µs: how often peers are told of ways on, if changed, and messages a second each hears: each costs work. */
+    /** µs: how often peers are told of ways on, if changed; messages a second each hears, as each is work. */
     private static final long TELL_EVERY = 1_000_000;
     private static final long NEWS_A_SECOND = 10;
     /** Multiples of that gap for which news holds: two messages in a row may be lost. */
     private static final long NEWS_FRESH = 6;
-    /** Widest services that must fit into a group told as a way on: all who hear of it may send there at once. */
+    /** Widest services that must fit into a group told as a way on: all who hear of it may send at once. */
     private static final int TOLD_WIDTHS = 6;
     /** Bytes of the largest message. */
     private static final int NEWS_BYTES = 256;
@@ -184,7 +184,7 @@
         int size;
         double beta;
         long refreshAt;
-        /** The machine that serves the number now: the ready one started last; kept, as every session asks. */
+        /** The machine that serves the number now, the ready one started last; every session asks for it. */
         Far serving;
 
         Group(Service[] services) {
@@ -500,12 +500,12 @@
         }
     }
 
-    /** Own number in two bytes, then a bit for each number: whether a session in transit there would go on. */
+    /** Own number in two bytes, then a bit a number: whether a session in transit there would go on. */
     private byte[] waysOn(long now) {
         byte[] out = new byte[Math.min(NEWS_BYTES, groups.isEmpty() ? 2 : 3 + groups.lastKey() / 8)];
         out[0] = (byte) ownNumber;
         out[1] = (byte) (ownNumber >> 8);
-        // A pressed processor turns transit back only after two have worked on it: it tells of no ways at all.
+        // A pressed processor turns transit back only after two have worked on it: it tells of no ways.
         boolean pressed = inFlight(now) >= ownWindow * PRESS_TOLD;
         groups.forEach((number, group) -> {
             if (!pressed && 2 + number / 8 < out.length && group.serving != null && roomy(group)
@@ -561,8 +561,10 @@
         for (Group group : groups.values()) {
             Far far = direct != null && group == direct.group ? null : group.serving;
             if (far == null || far.number == ownNumber || it.tried.contains(far) || !allowed(service, far)
-                    || knownOnly && !leads(group, session.farEnd()) || closedBeyond(now, group, session.farEnd())
-                    || now < far.noTandemUntil || !open(now, far, PRESS_TANDEM) || group.free < FREE_FIRST_LEG * group.size
+                    || knownOnly && !leads(group, session.farEnd())
+                    || closedBeyond(now, group, session.farEnd())
+                    || now < far.noTandemUntil || !open(now, far, PRESS_TANDEM)
+                    || group.free < FREE_FIRST_LEG * group.size
                     || test(now, group, it) != Test.PASS) {
                 continue;
             }
@@ -580,8 +582,8 @@
     }
 
     /**
-     * A slope tells of the first leg only; a tandem without a way on loads three processors for nothing. While few
-     * unknown ones lead on, they are asked only where none is known, also when the known are closed.
+     * A slope tells of the first leg only; a tandem without a way on loads three processors for nothing.
+     * While few unknown ones lead on, they are asked only where none is known, also when the known are closed.
      */
     private boolean wayKnown(int farEnd) {
         for (Group group : groups.values()) {
@@ -601,7 +603,7 @@
                 || now < tandem.newsUntil && !bit(tandem.news, farEnd);
     }
 
-    /** Equal slopes, as of groups not used yet, go by circuits free: no common order for all to pile up on. */
+    /** Equal slopes, as of groups not used yet, go by circuits free: no order for all to pile up on. */
     private static boolean betterLeg(double slope, Group group, double least, Group best) {
         return slope < least || slope == least && group.free > best.free;
     }
@@ -625,19 +627,21 @@
         far.sends.add(now, 1);
         far.sentAt = now;
         long left = session.limit() - now;
-        return Answer.send(far.id, trial ? Math.min(left, services[it.kind].target) : patience(now, it, far, left));
+        return Answer.send(far.id,
+                trial ? Math.min(left, services[it.kind].target) : patience(now, it, far, left));
     }
 
     /**
-     * While answers get lost, an exchange whose last answer was quick answers soon or not at all: waiting to the
-     * caller's time earns nothing and holds circuits. What is left of the target must pay for the release wait
-     * and a new set-up; a slow exchange, a session in transit or one past its target is waited for.
+     * While answers get lost, an exchange whose last answer was quick answers soon or not at all: waiting to
+     * the caller's time earns nothing and holds circuits. What is left of the target must pay for the release
+     * wait and a new set-up; a slow exchange, a session in transit or one past its target is waited for.
      */
     private long patience(long now, Held it, Far far, long left) {
         long target = services[it.kind].target;
         long wait = it.session.arrived() + target - now - releaseWait - (long) (SET_UP * target);
         boolean resend = it.kind % 2 == 0 && services[it.kind].repeatable && it.sent < inviteLimit;
-        return lossy() && resend && !far.slow && !it.session.transit() && wait >= SLOW * target ? Math.min(left, wait) : left;
+        boolean early = lossy() && resend && !far.slow && !it.session.transit() && wait >= SLOW * target;
+        return early ? Math.min(left, wait) : left;
     }
 
     private boolean lossy() {
@@ -787,8 +791,8 @@
     private void pace(long now, Far far, Invite invite, boolean quick, boolean answered) {
         far.slow = !quick;
         far.noTandemUntil = quick ? 0 : now + SLOW_TANDEM_HOLD;
-        // A few hung or slow exchanges must not close the way to the others; most slow is the own processor. In a
-        // large fleet each exchange's last answer is old: the newest answers tell more, one an exchange in turn.
+        // A few hung or slow exchanges must not close the way to the others; most slow is the own processor.
+        // In a large fleet an exchange's last answer is old: the newest of all tell more, one each in turn.
         if (answered && far != lastPaced) {
             slowShare += SLOW_STEP * ((quick ? 0 : 1) - slowShare);
             lastPaced = far;
@@ -815,7 +819,7 @@
         }
         double rate = ownLoad.sum(now) / Math.max(1, Math.min(RATE_WINDOW, now - started)) * 1e6;
         double budget = coldBudget * rate / Math.max(1, routers - 1);
-        // In a large fleet one set-up each a window would be too many together: less than one means more windows.
+        // In a large fleet one set-up each a window would be too many together: less means more windows.
         return budget < 1 ? now - far.sentAt >= fallWindow / Math.max(LEAST_PART, budget)
                 : far.sends.sum(now) + 1 <= budget;
     }
@@ -851,12 +855,12 @@
             // One that just answered does not hang: a second failure in a row tells nothing of losses.
             lostShare += far.failures == 0 && !far.slow ? LOST_STEP * (1 - lostShare) : 0;
             far.failures++;
-            // One alone may be an answer lost on its way; narrowing at each would shut exchanges that are well.
+            // One alone may be an answer lost on its way; narrowing at each would shut what is well.
             if (far.failures > 1 || far.slow || !lossy()) {
                 pace(now, far, it.invite, false, false);
             }
             far.trials += tried ? 1 : 0;
-            // INVITEs older than the closing are no trials: they must neither put the next one off nor lengthen
+            // INVITEs older than the closing are no trials: they must not put the next one off nor lengthen
             // its wait, or lost answers, some out for seconds, keep the only way to a far end shut.
             if (tried || far.failures == FAILURES) {
                 far.trialAt = now + Math.min(TRIAL_LONGEST, TRIAL_FIRST << Math.min(8, far.trials));
@@ -879,7 +883,8 @@
 
     private void turnedBack(long now, Group tandem, int farEnd) {
         learnUnknown(tandem, farEnd, 0);
-        int turns = tandem.leadsTo.contains(farEnd) ? 0 : tandem.turnsInARow.merge(farEnd, 1, Integer::sum) - 1;
+        int turns = tandem.leadsTo.contains(farEnd) ? 0
+                : tandem.turnsInARow.merge(farEnd, 1, Integer::sum) - 1;
         tandem.turnedBack.put(farEnd, now + (TURNED_BACK_HOLD << Math.min(TURNED_BACK_DOUBLINGS, turns)));
     }
 
