--- a/src/main/java/coralcove/Choice.java
+++ b/src/main/java/coralcove/Choice.java
@@ -583,7 +583,7 @@
 
     /**
      * A slope tells of the first leg only; a tandem without a way on loads three processors for nothing.
-     * While few unknown ones lead on, they are asked only where none is known, also when the known are closed.
+     * While few unknown ones lead on, they are asked only where none is known, also if the known are closed.
      */
     private boolean wayKnown(int farEnd) {
         for (Group group : groups.values()) {
