Narrow no window for time-outs of a quick exchange while answers get lost

A hung exchange is still closed by failures in a row. May hurt where an exchange turns slow while answers get lost, until its first slow answer.

--- a/src/main/java/coralcove/Choice.java
+++ b/src/main/java/coralcove/Choice.java
@@ -855,8 +855,8 @@
             // One that just answered does not hang: a second failure in a row tells nothing of losses.
             lostShare += far.failures == 0 && !far.slow ? LOST_STEP * (1 - lostShare) : 0;
             far.failures++;
-            // One alone may be an answer lost on its way; narrowing at each would shut what is well.
-            if (far.failures > 1 || far.slow || !lossy()) {
+            // While answers get lost, narrowing at each would shut the few ways of a small mesh that is well.
+            if (far.slow || !lossy()) {
                 pace(now, far, it.invite, false, false);
             }
             far.trials += tried ? 1 : 0;
--- a/src/test/java/coralcove/ChoiceTest.java
+++ b/src/test/java/coralcove/ChoiceTest.java
@@ -201,6 +201,12 @@
                 desk.load(100 * id, 1, 0, 1 + id % 3, 500);
             }
         }
+        for (int id = 20; id <= 25; id++) {
+            desk.call(id, 1, 1);
+            if (id < 22) {
+                desk.after(id, TIMED_OUT, NONE, 500, true);
+            }
+        }
         desk.reads("lost");
     }
 
