--- a/src/main/java/coralcove/Choice.java
+++ b/src/main/java/coralcove/Choice.java
@@ -83,7 +83,7 @@
     /** Share of unknown tandems that must lead on to be asked beside known ones; weight of the newest. */
     private static final double UNKNOWN_LEAD = 0.5;
     private static final double UNKNOWN_STEP = 0.1;
-    /** µs: how often peers are told of ways on, if changed; messages a second each hears, as each is work. */
+    /** µs: how often peers are told of ways on, if changed; messages a second each hears: each is work. */
     private static final long TELL_EVERY = 1_000_000;
     private static final long NEWS_A_SECOND = 10;
     /** Multiples of that gap for which news holds: two messages in a row may be lost. */
@@ -92,7 +92,7 @@
     private static final int TOLD_WIDTHS = 6;
     /** Bytes of the largest message. */
     private static final int NEWS_BYTES = 256;
-    /** µs: least wait, and as much again by chance, before a failed question to the directory is put anew. */
+    /** µs: least wait and as much again by chance before a failed question to the directory is put again. */
     private static final long SUBSCRIBE_AGAIN = 1_000_000;
     /** µs: a moment that does not come. */
     private static final long NEVER = Long.MAX_VALUE;
