Fold state kept twice and one figure written twice in the module; equal decisions

The set-ups under way to an exchange were a map that nothing but its size was read from, beside an INVITE that knows whether it has ended: now a count. Both legs of a two-group session shared a tenth as two constants, under a comment that still told of a fifth: now one. The span of rates was reckoned in two places, news was put again after a bare 3 gaps, and a pressed router walked its groups to tell of none. Two constants stood between another and its reason.

--- a/src/main/java/coralcove/Choice.java
+++ b/src/main/java/coralcove/Choice.java
@@ -33,9 +33,8 @@
     private static final int FREE_WIDTHS = 2;
     /** The same share for an own caller's session: the slack of the targets must not keep circuits empty. */
     private static final double FREE_OWN = 0.06;
-    /** The share a tandem's first leg must have free; the second leg, tested there, keeps the fifth. */
-    private static final double FREE_FIRST_LEG = 0.1;
-    private static final double FREE_SECOND_LEG = 0.1;
+    /** The share each leg of a two-group session must have free: thin groups hardly ever have a fifth. */
+    private static final double FREE_LEG = 0.1;
     /** Buckets of the rings of load and of phantoms: steps of half a second and of a hold's thirtieth. */
     private static final int LOAD_BUCKETS = 20;
     private static final int PHANTOM_BUCKETS = 30;
@@ -50,9 +49,9 @@
     /** Share of a window open to a tandem's leg, to low value or what stands late, and to the highest. */
     private static final double PRESS_TANDEM = 0.25;
     private static final double PRESS_LOW = 0.5;
+    private static final double PRESS_HIGH = 1;
     /** Share of the common window in use from which peers are told of no ways on. */
     private static final double PRESS_TOLD = 0.4;
-    private static final double PRESS_HIGH = 1;
     /** INVITEs in flight to one exchange: to start with, and the most; above this it is never the limit. */
     private static final double WINDOW_FIRST = 4;
     private static final double WINDOW_MOST = 32;
@@ -76,10 +75,10 @@
     private static final long FULL_HOLD = 300_000;
     /** µs: a tandem that turned a session back is not asked for that far end for this long. */
     private static final long TURNED_BACK_HOLD = 4_000_000;
-    /** µs: one that was slow, full or silent is no tandem for this long, or until it is quick. */
-    private static final long SLOW_TANDEM_HOLD = 4_000_000;
     /** Doublings of that hold at most, for a tandem that never led there: it may have no group to it. */
     private static final int TURNED_BACK_DOUBLINGS = 4;
+    /** µs: one that was slow, full or silent is no tandem for this long, or until it is quick. */
+    private static final long SLOW_TANDEM_HOLD = 4_000_000;
     /** Share of unknown tandems that must lead on to be asked beside known ones; weight of the newest. */
     private static final double UNKNOWN_LEAD = 0.5;
     private static final double UNKNOWN_STEP = 0.1;
@@ -201,7 +200,7 @@
         final int number;
         final Group group;
         final Ring sends;
-        final Map<Long, Invite> settingUp = new LinkedHashMap<>();
+        int settingUp;
         boolean ready;
         long since;
         int failures;
@@ -228,6 +227,7 @@
     private static final class Invite {
         final Far far;
         final long sentAt;
+        /** Whether its set-up is over, by an answer or without one. */
         boolean ended;
         boolean overdue;
 
@@ -389,7 +389,7 @@
             return over ? Answer.NOTHING : Answer.FAIL;
         }
         Far far = it.invite.far;
-        settled(now, session, it, ending, cause, took, namedWait);
+        settled(now, it, ending, cause, took, namedWait);
         if (ending == Ending.STANDS) {
             return Answer.NOTHING;
         }
@@ -416,7 +416,7 @@
             if (!Arrays.equals(news, told) || now >= tellAgainAt) {
                 tell = List.of(news);
                 told = news;
-                tellAgainAt = now + 3 * tellEvery;
+                tellAgainAt = now + NEWS_FRESH / 2 * tellEvery;
             }
         }
         long until = Math.min(subscribeAt, peers ? tellAt : NEVER);
@@ -506,9 +506,11 @@
         out[0] = (byte) ownNumber;
         out[1] = (byte) (ownNumber >> 8);
         // A pressed processor turns transit back only after two have worked on it: it tells of no ways.
-        boolean pressed = inFlight(now) >= ownWindow * PRESS_TOLD;
+        if (inFlight(now) >= ownWindow * PRESS_TOLD) {
+            return out;
+        }
         groups.forEach((number, group) -> {
-            if (!pressed && 2 + number / 8 < out.length && group.serving != null && roomy(group)
+            if (2 + number / 8 < out.length && group.serving != null && roomy(group)
                     && group.free >= TOLD_WIDTHS * widest) {
                 out[2 + number / 8] |= (byte) (1 << number % 8);
             }
@@ -538,7 +540,7 @@
             // In a mesh every way ends at the far end; another pool can serve what the first choice cannot.
             return pools ? overflow(now, it, direct) : refuse(now, it, direct);
         }
-        if (session.transit() && direct.group.free < FREE_SECOND_LEG * direct.group.size) {
+        if (session.transit() && direct.group.free < FREE_LEG * direct.group.size) {
             return refuse(now, it, direct);
         }
         if (!session.transit() && it.sent > 0 && !it.lost) {
@@ -564,7 +566,7 @@
                     || knownOnly && !leads(group, session.farEnd())
                     || closedBeyond(now, group, session.farEnd())
                     || now < far.noTandemUntil || !open(now, far, PRESS_TANDEM)
-                    || group.free < FREE_FIRST_LEG * group.size
+                    || group.free < FREE_LEG * group.size
                     || test(now, group, it) != Test.PASS) {
                 continue;
             }
@@ -621,7 +623,7 @@
         it.tried.add(far);
         far.group.free -= session.width();
         far.group.loads[it.kind].standing++;
-        far.settingUp.put(session.id(), it.invite);
+        far.settingUp++;
         inFlight++;
         out.add(it.invite);
         far.sends.add(now, 1);
@@ -713,6 +715,11 @@
         return load.standing / load.c0 <= bound ? Test.PASS : Test.KEPT_BACK;
     }
 
+    /** The span that rates are counted over: less than the window at the start. */
+    private long rateSpan(long now) {
+        return Math.max(1, Math.min(RATE_WINDOW, now - started));
+    }
+
     private boolean roomy(Group group) {
         return group.free >= FREE_SHARE * group.size && group.free >= FREE_WIDTHS * widest;
     }
@@ -730,13 +737,12 @@
     /** The fractional knapsack by falling value per circuit, and what follows from it. */
     private void refresh(long now, Group group) {
         group.refreshAt = now + REFRESH;
-        double span = Math.max(1, Math.min(RATE_WINDOW, now - started));
         double left = group.size / (1 + 4 * EPSILON);
         double least = Double.POSITIVE_INFINITY;
         for (int index : byWorth) {
             Load load = group.loads[index];
             Service service = services[index];
-            double rho = load.calls.sum(now) / span * service.hold;
+            double rho = load.calls.sum(now) / rateSpan(now) * service.hold;
             double need = rho * service.width;
             boolean first = !load.aimed;
             load.aimed = need > 0;
@@ -783,7 +789,7 @@
         if (far.failures >= FAILURES) {
             return now >= far.trialAt && far.trial == null;
         }
-        return far.settingUp.size() < Math.max(1, far.window * press)
+        return far.settingUp < Math.max(1, far.window * press)
                 && inFlight(now) < Math.max(1, ownWindow * press);
     }
 
@@ -817,29 +823,32 @@
         if (far.since <= 0 || now - far.since >= warmUp) {
             return true;
         }
-        double rate = ownLoad.sum(now) / Math.max(1, Math.min(RATE_WINDOW, now - started)) * 1e6;
+        double rate = ownLoad.sum(now) / rateSpan(now) * 1e6;
         double budget = coldBudget * rate / Math.max(1, routers - 1);
         // In a large fleet one set-up each a window would be too many together: less means more windows.
         return budget < 1 ? now - far.sentAt >= fallWindow / Math.max(LEAST_PART, budget)
                 : far.sends.sum(now) + 1 <= budget;
     }
 
-    private void settled(long now, long session, Held it, Ending ending, Cause cause, long took,
-            long namedWait) {
+    private void settled(long now, Held it, Ending ending, Cause cause, long took, long namedWait) {
         Far far = it.invite.far;
-        boolean wasSettingUp = far.settingUp.remove(session) != null;
-        boolean tried = far.trial == it.invite;
-        far.trial = tried ? null : far.trial;
-        inFlight -= wasSettingUp ? 1 : 0;
-        overdues -= wasSettingUp && it.invite.overdue ? 1 : 0;
-        it.invite.ended = true;
+        boolean wasSettingUp = !it.invite.ended;
+        boolean wasTrial = far.trial == it.invite;
+        far.trial = wasTrial ? null : far.trial;
+        if (wasSettingUp) {
+            it.invite.ended = true;
+            far.settingUp--;
+            inFlight--;
+            overdues -= it.invite.overdue ? 1 : 0;
+        }
         if (ending == Ending.STANDS && far.number != it.session.farEnd()) {
             learnUnknown(far.group, it.session.farEnd(), 1);
             far.group.leadsTo.add(it.session.farEnd());
         }
         boolean answered = ending == Ending.STANDS || ending == Ending.BUSY || ending == Ending.ERROR;
-        if (ending == Ending.STANDS && numbers.containsKey(it.session.number())) {
-            numbers.get(it.session.number()).gap = 0;
+        Called called = numbers.get(it.session.number());
+        if (ending == Ending.STANDS && called != null) {
+            called.gap = 0;
         }
         if (answered && wasSettingUp) {
             lostShare -= LOST_STEP * lostShare;
@@ -859,10 +868,10 @@
             if (far.slow || !lossy()) {
                 pace(now, far, it.invite, false, false);
             }
-            far.trials += tried ? 1 : 0;
+            far.trials += wasTrial ? 1 : 0;
             // INVITEs older than the closing are no trials: they must not put the next one off nor lengthen
             // its wait, or lost answers, some out for seconds, keep the only way to a far end shut.
-            if (tried || far.failures == FAILURES) {
+            if (wasTrial || far.failures == FAILURES) {
                 far.trialAt = now + Math.min(TRIAL_LONGEST, TRIAL_FIRST << Math.min(8, far.trials));
             }
         }
