Add the SIP layers and the cores of edge, exchange and directory, without I/O

The decisions had no program round them. This adds the message, parser and stream framing (sip), the transaction machines with retransmission, CANCEL, ACK and BYE (sip.transaction), calls (sip.dialog), the call router's core that asks Choice through CallRouter (edge), and the stand-in exchange and directory. Cores take time and input and give actions.

--- /dev/null
+++ b/src/main/java/coralcove/edge/EdgeCore.java
@@ -0,0 +1,640 @@
+package coralcove.edge;
+
+import coralcove.Answer;
+import coralcove.CallRouter;
+import coralcove.Cause;
+import coralcove.Ending;
+import coralcove.Exchange;
+import coralcove.Exchange.Phase;
+import coralcove.Session;
+import coralcove.Waiting;
+import coralcove.sip.BadMessage;
+import coralcove.sip.Core;
+import coralcove.sip.Hop;
+import coralcove.sip.Out;
+import coralcove.sip.Params;
+import coralcove.sip.SipMessage;
+import coralcove.sip.SipUri;
+import coralcove.sip.Timers;
+import coralcove.sip.dialog.Agent;
+import coralcove.sip.dialog.Call;
+import coralcove.sip.transaction.ClientTx;
+import coralcove.sip.transaction.ServerTx;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+
+/**
+ * One call router: it tells the module what happens and does what the module decides. Back to back user agent:
+ * a session is a leg in and, one after another, legs out, all through the own exchange. It decides nothing.
+ */
+public final class EdgeCore implements Core, Agent.User {
+    /** Seconds a subscription is asked for; it is renewed after half of that. */
+    private static final int SUBSCRIBED = 60;
+    private static final String BUSY = "Temporarily Unavailable";
+    /** Bytes: a peer message longer than this is dropped and counted (the module's own bound is 256). */
+    private static final int LONGEST_NEWS = 512;
+
+    /** A session or a call for the own lines, from its INVITE until nothing more can come for it. */
+    private static final class Held {
+        final long id;
+        final Call in;
+        final CallHeaders headers;
+        final Session session;
+        Leg leg;
+        Timers.Timer later;
+        Cause last = Cause.NONE;
+        boolean answered;
+        boolean stands;
+        boolean circuitsIn;
+
+        Held(long id, Call in, CallHeaders headers, Session session) {
+            this.id = id;
+            this.in = in;
+            this.headers = headers;
+            this.session = session;
+        }
+    }
+
+    /** One INVITE out; it keeps its circuits until it is over, also when its session no longer waits for it. */
+    private static final class Leg {
+        final Held held;
+        final int number;
+        final long exchange;
+        final long sentAt;
+        Call call;
+        Timers.Timer limit;
+        boolean seized;
+        boolean heard;
+
+        Leg(Held held, int number, long exchange, long sentAt) {
+            this.held = held;
+            this.number = number;
+            this.exchange = exchange;
+            this.sentAt = sentAt;
+        }
+    }
+
+    /** One line of the roster with the address of its router. */
+    private record Place(Exchange exchange, Hop edge) {}
+
+    private final EdgeSettings settings;
+    private final CallRouter router;
+    private final Timers timers = new Timers();
+    private final Agent agent;
+    private final Trunks trunks = new Trunks();
+    private final Map<Long, Place> roster = new LinkedHashMap<>();
+    private final Map<Long, Held> open = new LinkedHashMap<>();
+    private final TreeMap<Integer, int[]> toldCircuits = new TreeMap<>();
+    private long nextId = 1;
+    private long listVersion = -1;
+    private int unanswered;
+    private Timers.Timer wake;
+    private long wakeAt;
+    private boolean stopping;
+
+    public EdgeCore(EdgeSettings settings, CallRouter router) {
+        this.settings = settings;
+        this.router = router;
+        agent = new Agent(settings.self(), timers, settings.start(), this);
+    }
+
+    /** Takes nothing new from now on; {@link #idle} tells when all that is held has its answer. */
+    public void stop() {
+        stopping = true;
+    }
+
+    public boolean idle() {
+        return unanswered == 0;
+    }
+
+    public Agent agent() {
+        return agent;
+    }
+
+    public int sessions() {
+        return open.size();
+    }
+
+    // ---- driven from outside
+
+    @Override
+    public void start(long now, Out out) {
+        subscribe(now, "trunk-groups", settings.exchange(), out);
+        rest(now, out);
+    }
+
+    @Override
+    public void receive(long now, Hop from, SipMessage message, Out out) {
+        agent.receive(now, from, message, out);
+        rest(now, out);
+    }
+
+    @Override
+    public void malformed(long now, Hop from, BadMessage problem, Out out) {
+        agent.malformed(now, from, problem, out);
+    }
+
+    @Override
+    public void broken(long now, Hop peer, Out out) {
+        agent.broken(now, peer, out);
+        rest(now, out);
+    }
+
+    @Override
+    public void tick(long now, Out out) {
+        timers.run(now, out);
+        rest(now, out);
+    }
+
+    @Override
+    public long due() {
+        return timers.due();
+    }
+
+    private void rest(long now, Out out) {
+        Waiting waiting = router.waiting(now);
+        if (waiting.subscribe()) {
+            subscribe(now, "exchanges", settings.directory(), out);
+        }
+        waiting.probes().forEach(id -> probe(now, id, out));
+        for (byte[] body : waiting.broadcasts()) {
+            tell(body, out);
+        }
+        if (waiting.until() > 0 && waiting.until() != wakeAt) {
+            timers.cancel(wake);
+            wakeAt = waiting.until();
+            wake = timers.set(wakeAt, (at, o) -> { });
+        }
+    }
+
+    // ---- sessions
+
+    @Override
+    public void invited(long now, Call call, Hop from, Out out) {
+        CallHeaders headers;
+        try {
+            headers = CallHeaders.of(call.invite(), settings.module().services().size());
+        } catch (IllegalArgumentException e) {
+            agent.count("bad-invite");
+            agent.reject(now, call, 400, "Bad Request", out, "Warning", "399 coralcove \"" + quoted(e) + "\"");
+            return;
+        }
+        boolean mine = headers.farEnd() == settings.number();
+        if (!mine && roster.values().stream().noneMatch(p -> p.exchange.number() == headers.farEnd())) {
+            agent.count("404");
+            agent.reject(now, call, 404, "Not Found", out);
+            return;
+        }
+        if (stopping || unanswered >= settings.mostOpen()) {
+            agent.count(stopping ? "stopping" : "too-many-open");
+            agent.reject(now, call, 503, "Service Unavailable", out, "Retry-After",
+                    Outcomes.retryAfter(settings.module().longestComeBack()));
+            return;
+        }
+        boolean trunk = headers.origin() >= 0;
+        if (trunk && trunks.free(now, headers.origin()) < headers.width()) {
+            noCircuit(now, call, headers, out);
+            return;
+        }
+        long limit = now + Math.max(0, headers.left() - settings.answerMargin());
+        long id = nextId++;
+        Session session = mine ? null : new Session(id, headers.service(), 0, headers.farEnd(), headers.width(), -1,
+                trunk, digits(headers.number()), headers.redial(), headers.cut(), now, limit);
+        Held held = new Held(id, call, headers, session);
+        call.owner(held);
+        open.put(id, held);
+        unanswered++;
+        out.log(mine ? "arrived" : trunk ? "transit" : "session", call.sessionId(), "far end " + headers.farEnd());
+        if (trunk) {
+            trunks.seizeIn(headers.origin(), headers.width());
+            held.circuitsIn = true;
+            circuits(now, headers.origin());
+        }
+        if (mine) {
+            deliver(now, held, limit, out);
+        } else {
+            carryOut(now, held, router.route(now, session), out);
+        }
+    }
+
+    private static String quoted(Exception e) {
+        return e.getMessage().replaceAll("[\"\\\\\\r\\n]", "'");
+    }
+
+    /** The number called as the module knows it: its digits, 0 if it has none. */
+    private static long digits(String number) {
+        String digits = number.replaceAll("\\D", "");
+        return digits.isEmpty() || digits.length() > 18 ? 0 : Long.parseLong(digits);
+    }
+
+    private void noCircuit(long now, Call call, CallHeaders headers, Out out) {
+        agent.count("no-circuit");
+        agent.reject(now, call, 503, "No Circuit", out, "Reason",
+                Outcomes.reason(Outcomes.NO_CIRCUIT, "no circuit"), "X-Circuits",
+                Integer.toString(trunks.busy(headers.origin())));
+    }
+
+    /** A call for the own lines: no choice is left, it goes to the own exchange. */
+    private void deliver(long now, Held held, long limit, Out out) {
+        Leg leg = new Leg(held, settings.number(), 0, now);
+        held.leg = leg;
+        SipMessage invite = outgoing(held, limit - now);
+        invite.add("X-Deliver", "yes");
+        leg.call = agent.invite(now, invite, settings.exchange(), leg, out);
+        leg.limit = timers.set(limit, (at, o) -> {
+            agent.cancel(at, leg.call, o);
+            answer(at, held, 408, "Request Timeout", o);
+        });
+    }
+
+    private SipMessage outgoing(Held held, long left) {
+        SipMessage invite = agent.request("INVITE", SipUri.text(held.headers.number(), settings.exchange()));
+        int hops = (int) Params.of("x;n=" + held.in.invite().header("Max-Forwards", "70")).number("n", 70);
+        invite.set("Max-Forwards", Integer.toString(hops - 1));
+        return CallHeaders.write(invite, held.headers, held.headers.origin(), left, held.in.sessionId());
+    }
+
+    private void carryOut(long now, Held held, Answer answer, Out out) {
+        switch (answer.kind()) {
+            case SEND -> send(now, held, answer, out);
+            case LATER -> {
+                out.log("later", held.in.sessionId(), "in " + (answer.time() - now) / 1000 + " ms");
+                held.later = timers.set(answer.time(), (at, o) -> {
+                    if (!held.answered) {
+                        carryOut(at, held, router.route(at, held.session), o);
+                    }
+                });
+            }
+            case REFUSE -> refuse(now, held, answer.time(), out);
+            case FAIL -> answer(now, held, 500, "Terminated", out);
+            case NOTHING -> { }
+        }
+    }
+
+    private void send(long now, Held held, Answer answer, Out out) {
+        Place place = roster.get(answer.exchange());
+        int number = place.exchange.number();
+        Leg leg = new Leg(held, number, answer.exchange(), now);
+        held.leg = leg;
+        if (trunks.free(now, number) < held.headers.width()) {
+            settle(now, leg, Ending.NOT_SENT, Cause.NO_CIRCUIT, 0, out);
+            return;
+        }
+        trunks.seizeOut(number, held.headers.width());
+        leg.seized = true;
+        circuits(now, number);
+        SipMessage invite = outgoing(held, answer.time());
+        invite.set("X-Origin", Integer.toString(settings.number()));
+        invite.add("Route", "<" + SipUri.text(Integer.toString(number), place.edge) + ";lr>");
+        out.log("invite", held.in.sessionId(), "to " + answer.exchange() + " number " + number);
+        leg.call = agent.invite(now, invite, settings.exchange(), leg, out);
+        leg.limit = timers.set(now + answer.time(), (at, o) -> {
+            agent.cancel(at, leg.call, o);
+            // What it held may stay taken for the release wait, and no longer.
+            timers.set(at + settings.module().releaseWait(), (later, p) -> release(later, leg));
+            settle(at, leg, Ending.TIMED_OUT, Cause.NONE, 0, o);
+        });
+    }
+
+    private void settle(long now, Leg leg, Ending ending, Cause cause, long namedWait, Out out) {
+        Held held = leg.held;
+        timers.cancel(leg.limit);
+        if (held.leg != leg) {
+            return;
+        }
+        held.leg = null;
+        held.last = cause;
+        out.log("ended-invite", held.in.sessionId(), ending + " " + cause);
+        carryOut(now, held, router.after(now, held.id, ending, cause, leg.exchange, now - leg.sentAt, namedWait,
+                held.answered), out);
+    }
+
+    private void release(long now, Leg leg) {
+        if (leg.seized) {
+            leg.seized = false;
+            trunks.freeOut(leg.number, leg.held.headers.width());
+            circuits(now, leg.number);
+        }
+    }
+
+    private void refuse(long now, Held held, long comeBack, Out out) {
+        if (held.headers.origin() >= 0) {
+            boolean beyond = held.last == Cause.PROCESSOR_FULL;
+            answer(now, held, 503, "Turned Back", out, "Reason", beyond
+                    ? Outcomes.reason(Outcomes.FULL_BEYOND, "full beyond")
+                    : Outcomes.reason(Outcomes.TURNED_BACK, "turned back"));
+        } else if (comeBack > 0) {
+            answer(now, held, 480, BUSY, out, "Retry-After", Outcomes.retryAfter(comeBack));
+        } else {
+            answer(now, held, 480, BUSY, out);
+        }
+    }
+
+    /** The one final answer that is no 200. */
+    private void answer(long now, Held held, int status, String reason, Out out, String... extra) {
+        if (held.answered) {
+            return;
+        }
+        out.log("answer", held.in.sessionId(), status + " " + reason);
+        agent.reject(now, held.in, status, reason, out, extra);
+        over(now, held);
+    }
+
+    private void over(long now, Held held) {
+        if (!held.answered) {
+            held.answered = true;
+            unanswered--;
+        }
+        timers.cancel(held.later);
+        if (held.circuitsIn) {
+            held.circuitsIn = false;
+            trunks.freeIn(held.headers.origin(), held.headers.width());
+            circuits(now, held.headers.origin());
+        }
+        open.remove(held.id);
+    }
+
+    @Override
+    public void progressed(long now, Call call, SipMessage response, Out out) {
+        Leg leg = (Leg) call.owner();
+        leg.heard = true;
+        if (response.status() == 180 && !leg.held.answered) {
+            agent.progress(now, leg.held.in, 180, "Ringing", out);
+        }
+    }
+
+    @Override
+    public void answered(long now, Call call, SipMessage response, Out out) {
+        Leg leg = (Leg) call.owner();
+        Held held = leg.held;
+        timers.cancel(leg.limit);
+        held.answered = true;
+        held.stands = true;
+        unanswered--;
+        out.log("stands", held.in.sessionId(), (now - leg.sentAt) / 1000 + " ms");
+        agent.answer(now, held.in, out);
+        if (held.session != null) {
+            router.after(now, held.id, Ending.STANDS, Cause.NONE, leg.exchange, now - leg.sentAt, 0, true);
+        }
+    }
+
+    @Override
+    public void rejected(long now, Call call, SipMessage response, Agent.Lost lost, Out out) {
+        Leg leg = (Leg) call.owner();
+        Held held = leg.held;
+        timers.cancel(leg.limit);
+        if (response != null && response.header("X-Circuits") != null) {
+            trunks.told(now, leg.number, (int) Params.of("x;n=" + response.header("X-Circuits")).number("n", 0));
+            if (trunks.doubtEnds(now, leg.number) < Long.MAX_VALUE) {
+                timers.set(trunks.doubtEnds(now, leg.number), (at, o) -> circuits(at, leg.number));
+            }
+        }
+        release(now, leg);
+        if (held.leg != leg || call.cancelled()) {
+            return;
+        }
+        if (held.session == null) {
+            pass(now, held, response, lost, out);
+            return;
+        }
+        Outcomes.Outcome outcome = Outcomes.of(response, lost, leg.heard);
+        settle(now, leg, outcome.ending(), outcome.cause(), outcome.namedWait(), out);
+    }
+
+    /** What the own lines say goes back as they said it. */
+    private void pass(long now, Held held, SipMessage response, Agent.Lost lost, Out out) {
+        if (response == null) {
+            answer(now, held, lost == Agent.Lost.UNREACHABLE ? 502 : 408, "No Answer", out, "Reason",
+                    Outcomes.reason(lost == Agent.Lost.UNREACHABLE ? Outcomes.UNREACHABLE : 102, "no answer"));
+            return;
+        }
+        List<String> extra = new ArrayList<>();
+        for (String name : List.of("Reason", "Retry-After")) {
+            if (response.header(name) != null) {
+                extra.add(name);
+                extra.add(response.header(name));
+            }
+        }
+        answer(now, held, response.status(), response.reason(), out, extra.toArray(String[]::new));
+    }
+
+    @Override
+    public void cancelled(long now, Call call, Out out) {
+        Held held = (Held) call.owner();
+        out.log("caller-gone", call.sessionId(), "");
+        Leg leg = held.leg;
+        over(now, held);
+        if (held.session != null) {
+            router.ended(now, held.id);
+        }
+        if (leg != null) {
+            agent.cancel(now, leg.call, out);
+            timers.set(now + settings.module().releaseWait(), (later, o) -> release(later, leg));
+            if (held.session != null) {
+                settle(now, leg, Ending.CANCELLED, Cause.NONE, 0, out);
+            } else {
+                timers.cancel(leg.limit);
+            }
+        }
+    }
+
+    @Override
+    public void hungUp(long now, Call call, SipMessage bye, Out out) {
+        Held held = call.owner() instanceof Leg leg ? leg.held : (Held) call.owner();
+        Leg leg = held.leg;
+        boolean cut = bye == null || Outcomes.cause(bye) == Outcomes.CUT;
+        Call other = call == held.in ? leg.call : held.in;
+        out.log("over", held.in.sessionId(), cut ? "cut" : "");
+        agent.bye(now, other, cut ? Outcomes.reason(Outcomes.CUT, "cut") : null, out);
+        release(now, leg);
+        over(now, held);
+        if (held.session != null) {
+            router.after(now, held.id, cut ? Ending.RESET : Ending.OVER, Cause.NONE, leg.exchange,
+                    now - leg.sentAt, 0, true);
+        }
+    }
+
+    /** Tells the module of a group's circuits, for each machine that has served its number. */
+    private void circuits(long now, int number) {
+        int free = trunks.free(now, number);
+        int size = trunks.size(number);
+        int[] told = toldCircuits.get(number);
+        if (told != null && told[0] == free && told[1] == size) {
+            return;
+        }
+        toldCircuits.put(number, new int[] {free, size});
+        for (Place place : roster.values()) {
+            if (place.exchange.number() == number) {
+                router.circuits(now, place.exchange.id(), free, size);
+            }
+        }
+    }
+
+    // ---- news
+
+    private void subscribe(long now, String event, Hop to, Out out) {
+        SipMessage request = agent.request("SUBSCRIBE", SipUri.text("", to)).add("Event", event)
+                .add("Expires", Integer.toString(SUBSCRIBED)).add("X-Number", Integer.toString(settings.number()));
+        agent.send(now, request, to, event, out);
+    }
+
+    private void probe(long now, long id, Out out) {
+        Place place = roster.get(id);
+        if (place != null) {
+            SipMessage request = agent.request("OPTIONS", SipUri.text("", place.edge)).add("X-Probe", "yes");
+            agent.send(now, request, place.edge, new Object[] {id, now}, out);
+        }
+    }
+
+    private void tell(byte[] body, Out out) {
+        for (Place place : roster.values()) {
+            if (place.exchange.number() != settings.number() && place.exchange.phase() == Phase.READY) {
+                SipMessage message = agent.request("MESSAGE", SipUri.text("", place.edge));
+                message.add("X-Number", Integer.toString(settings.number()));
+                agent.sendOnce(message.body("application/octet-stream", body), place.edge.over(false), out);
+            }
+        }
+    }
+
+    @Override
+    public void request(long now, ServerTx tx, Hop from, Out out) {
+        SipMessage request = tx.request();
+        switch (request.method()) {
+            case "NOTIFY" -> notified(now, tx, out);
+            case "MESSAGE" -> {
+                if (request.body().length <= LONGEST_NEWS) {
+                    long rank = Params.of("x;n=" + request.header("X-Number", "-1")).number("n", -1);
+                    router.peer(now, (int) rank, request.body());
+                } else {
+                    agent.count("long-news");
+                }
+                agent.respond(now, tx, agent.reply(tx, 200, "OK"), out);
+            }
+            case "OPTIONS" -> {
+                if (request.header("X-Probe") == null) {
+                    agent.respond(now, tx, agent.reply(tx, 200, "OK"), out);
+                } else {
+                    SipMessage on = agent.request("OPTIONS", SipUri.text("", settings.exchange()));
+                    agent.send(now, on.add("X-Probe", "yes"), settings.exchange(), tx, out);
+                }
+            }
+            default -> agent.respond(now, tx, agent.reply(tx, 405, "Method Not Allowed"), out);
+        }
+    }
+
+    @Override
+    public void replied(long now, ClientTx tx, SipMessage response, Out out) {
+        boolean good = response != null && response.status() < 300;
+        if (tx.owner() instanceof ServerTx asked) {
+            SipMessage reply = agent.reply(asked, good ? 200 : 503, good ? "OK" : "No Answer");
+            if (good) {
+                reply.add("X-Load", response.header("X-Load", ""));
+            }
+            agent.respond(now, asked, reply, out);
+        } else if (tx.owner() instanceof Object[] probe) {
+            router.report(now, (Long) probe[0], good, now - (Long) probe[1],
+                    good ? columns(response.header("X-Load", "")) : new float[0]);
+        } else if (tx.owner() instanceof String event) {
+            subscribed(now, event, good, out);
+        }
+    }
+
+    private static float[] columns(String load) {
+        String[] parts = load.isBlank() ? new String[0] : load.split(",");
+        float[] columns = new float[Math.min(4, parts.length)];
+        for (int i = 0; i < columns.length; i++) {
+            try {
+                columns[i] = Float.parseFloat(parts[i].strip());
+            } catch (NumberFormatException e) {
+                return new float[0];
+            }
+        }
+        return columns;
+    }
+
+    private void subscribed(long now, String event, boolean good, Out out) {
+        if (event.equals("exchanges") && !good) {
+            out.log("directory-lost", "", "");
+            router.rosterLost(now);
+            return;
+        }
+        Hop to = event.equals("exchanges") ? settings.directory() : settings.exchange();
+        timers.set(now + (good ? SUBSCRIBED * 500_000L : 1_000_000), (at, o) -> subscribe(at, event, to, o));
+    }
+
+    private void notified(long now, ServerTx tx, Out out) {
+        SipMessage notify = tx.request();
+        String event = Params.of(notify.header("Event", "")).value();
+        List<String> lines = notify.text().lines().toList();
+        boolean taken = event.equals("exchanges") ? exchanges(now, lines, out)
+                : event.equals("trunk-groups") && groups(now, lines);
+        agent.respond(now, tx, taken ? agent.reply(tx, 200, "OK") : agent.reply(tx, 400, "Bad Request"), out);
+    }
+
+    /** The list: a first line "version N full|changes [after M]", then lines as {@link #place} reads them. */
+    private boolean exchanges(long now, List<String> lines, Out out) {
+        String[] first = lines.isEmpty() ? new String[0] : lines.get(0).split(" ");
+        List<Place> places = new ArrayList<>();
+        long version;
+        long after;
+        try {
+            if (first.length < 3 || !first[0].equals("version")) {
+                return false;
+            }
+            version = Long.parseLong(first[1]);
+            after = first[2].equals("full") ? -1 : Long.parseLong(first[4]);
+            for (String line : lines.subList(1, lines.size())) {
+                places.add(place(line));
+            }
+        } catch (IllegalArgumentException | IndexOutOfBoundsException e) {
+            agent.count("bad-notify");
+            return false;
+        }
+        boolean full = first[2].equals("full");
+        if (version <= listVersion && !(full && version == listVersion)) {
+            return true;
+        }
+        if (!full && after > listVersion) {
+            // A change was lost on the way: the whole list replaces what is held.
+            subscribe(now, "exchanges", settings.directory(), out);
+            return true;
+        }
+        listVersion = version;
+        if (full) {
+            roster.clear();
+        }
+        places.forEach(place -> roster.put(place.exchange.id(), place));
+        router.roster(now, full, places.stream().map(Place::exchange).toList());
+        toldCircuits.clear();
+        trunks.numbers().forEach(number -> circuits(now, number));
+        out.log("roster", "", "version " + version + (full ? " full" : "") + " " + places.size() + " lines");
+        return true;
+    }
+
+    /** "id number ready|draining|gone since host:port". */
+    private static Place place(String line) {
+        String[] parts = line.split(" ");
+        int colon = parts[4].lastIndexOf(':');
+        Hop hop = new Hop(parts[4].startsWith("tcp:"), parts[4].substring(4, colon),
+                Integer.parseInt(parts[4].substring(colon + 1)));
+        return new Place(new Exchange(Long.parseLong(parts[0]), Integer.parseInt(parts[1]),
+                Phase.valueOf(parts[2].toUpperCase(java.util.Locale.ROOT)), Long.parseLong(parts[3])), hop);
+    }
+
+    private boolean groups(long now, List<String> lines) {
+        try {
+            for (String line : lines) {
+                String[] parts = line.split(" ");
+                trunks.size(Integer.parseInt(parts[0]), Integer.parseInt(parts[1]));
+                circuits(now, Integer.parseInt(parts[0]));
+            }
+            return true;
+        } catch (IllegalArgumentException | IndexOutOfBoundsException e) {
+            agent.count("bad-notify");
+            return false;
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/coralcove/exchange/Arrival.java
@@ -0,0 +1,4 @@
+package coralcove.exchange;
+
+/** One caller's first try: when, of which service, to which far end and number, and how long it would hold, µs. */
+public record Arrival(long at, int service, int farEnd, long number, long hold) {}
--- /dev/null
+++ b/src/main/java/coralcove/exchange/ExchangeCore.java
@@ -0,0 +1,551 @@
+package coralcove.exchange;
+
+import coralcove.edge.CallHeaders;
+import coralcove.edge.Outcomes;
+import coralcove.sip.BadMessage;
+import coralcove.sip.Core;
+import coralcove.sip.Hop;
+import coralcove.sip.Out;
+import coralcove.sip.SipMessage;
+import coralcove.sip.SipUri;
+import coralcove.sip.Timers;
+import coralcove.sip.dialog.Agent;
+import coralcove.sip.dialog.Call;
+import coralcove.sip.transaction.ClientTx;
+import coralcove.sip.transaction.ServerTx;
+import java.util.ArrayDeque;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+import java.util.TreeMap;
+import java.util.random.RandomGenerator;
+
+/**
+ * A stand-in exchange: a processor that all its signalling passes, its lines, its callers. It carries its call
+ * router's INVITEs on to the next router, answers for its own lines, and has the faults a day asks for.
+ */
+public final class ExchangeCore implements Core, Agent.User {
+    /** µs between two REGISTERs to the directory. */
+    private static final long REGISTER_EVERY = 1_000_000;
+    /** Load columns are smoothed over this many µs. */
+    private static final double UTIL_SPAN = 1_000_000;
+
+    /** A call carried on: the leg from the own router and the leg to the next one. */
+    private static final class Relay {
+        final Call in;
+        final int to;
+        Call out;
+
+        Relay(Call in, int to) {
+            this.in = in;
+            this.to = to;
+        }
+    }
+
+    /** A call at the own lines. */
+    private record Line(Call call, long number, boolean hot) {}
+
+    /** One caller, from its first try to its last. */
+    private static final class Caller {
+        final Arrival arrival;
+        final ExchangeSettings.Service service;
+        Call call;
+        int tries;
+        long tryAt;
+        double earned;
+        Timers.Timer patience;
+        boolean up;
+
+        Caller(Arrival arrival, ExchangeSettings.Service service) {
+            this.arrival = arrival;
+            this.service = service;
+        }
+    }
+
+    private final ExchangeSettings settings;
+    private final Timers timers = new Timers();
+    private final Agent agent;
+    private final Processor processor;
+    private final RandomGenerator chance;
+    private final ArrayDeque<Arrival> arrivals;
+    private final Stats stats;
+    private final TreeMap<Integer, Integer> groups;
+    private final Map<Long, Integer> busyLines = new HashMap<>();
+    private final List<Relay> relays = new java.util.ArrayList<>();
+    private final ArrayDeque<Long> coldSetUps = new ArrayDeque<>();
+    private Hop groupWatcher;
+    private double loseAnswers;
+    private boolean draining;
+    private boolean fallen;
+    private long sessionIds;
+    private long lastWorked;
+    private long lastLooked;
+    private double util;
+
+    /** {@code arrivals} in order of time; those before the start are passed over. */
+    public ExchangeCore(ExchangeSettings settings, List<Arrival> arrivals, Stats stats) {
+        this.settings = settings;
+        this.arrivals = new ArrayDeque<>(arrivals);
+        this.stats = stats;
+        chance = new SplittableRandom(settings.seed());
+        agent = new Agent(settings.self(), timers, settings.start(), this);
+        groups = new TreeMap<>(settings.groups());
+        ExchangeSettings.Rules rules = settings.rules();
+        processor = new Processor(timers, settings.since(), rules.coldFrom(), rules.warmUp());
+    }
+
+    public Agent agent() {
+        return agent;
+    }
+
+    public boolean fallen() {
+        return fallen;
+    }
+
+    // ---- driven from outside
+
+    @Override
+    public void start(long now, Out out) {
+        while (!arrivals.isEmpty() && arrivals.peek().at() < now) {
+            arrivals.poll();
+        }
+        register(now, out);
+        nextArrival();
+    }
+
+    @Override
+    public void receive(long now, Hop from, SipMessage message, Out out) {
+        if (!fallen) {
+            agent.receive(now, from, message, out);
+        }
+    }
+
+    @Override
+    public void malformed(long now, Hop from, BadMessage problem, Out out) {
+        agent.malformed(now, from, problem, out);
+    }
+
+    @Override
+    public void broken(long now, Hop peer, Out out) {
+        agent.broken(now, peer, out);
+    }
+
+    @Override
+    public void tick(long now, Out out) {
+        timers.run(now, out);
+    }
+
+    @Override
+    public long due() {
+        return timers.due();
+    }
+
+    private void register(long now, Out out) {
+        if (fallen) {
+            return;
+        }
+        SipMessage register = agent.request("REGISTER", SipUri.text("", settings.directory()));
+        register.add("X-Exchange", settings.id() + " " + settings.number() + " " + (draining ? "draining" : "ready")
+                + " " + settings.since() + " " + settings.edge());
+        agent.sendOnce(register, settings.directory(), out);
+        timers.set(now + REGISTER_EVERY, this::register);
+    }
+
+    // ---- faults
+
+    public void slow(double factor) {
+        processor.slow(factor);
+    }
+
+    public void stall(long now, long until) {
+        processor.stall(now, until);
+    }
+
+    public void hang(boolean on) {
+        processor.hang(on);
+    }
+
+    /** The share of answers that get lost from now on. */
+    public void loseAnswers(double share) {
+        loseAnswers = share;
+    }
+
+    public void drain(long now, Out out) {
+        draining = true;
+        register(now, out);
+    }
+
+    /** Cuts every call that touches this exchange, as its processor stops. */
+    public void cutAll(long now, Out out) {
+        for (Relay relay : List.copyOf(relays)) {
+            cut(now, relay, out);
+        }
+    }
+
+    /** Sets a group's circuits; calls that it carries out of here are cut with {@code share} when it shrinks. */
+    public void group(long now, int number, int circuits, double share, Out out) {
+        groups.put(number, circuits);
+        for (Relay relay : List.copyOf(relays)) {
+            if (relay.to == number && relay.in.stands() && chance.nextDouble() < share) {
+                cut(now, relay, out);
+            }
+        }
+        if (groupWatcher != null) {
+            tellGroups(now, number + " " + circuits, out);
+        }
+    }
+
+    private void cut(long now, Relay relay, Out out) {
+        if (relay.in.stands()) {
+            relays.remove(relay);
+            String reason = Outcomes.reason(Outcomes.CUT, "cut");
+            agent.bye(now, relay.in, reason, out);
+            agent.bye(now, relay.out, reason, out);
+        }
+    }
+
+    private void tellGroups(long now, String body, Out out) {
+        SipMessage notify = agent.request("NOTIFY", SipUri.text("", groupWatcher)).add("Event", "trunk-groups")
+                .add("Subscription-State", "active");
+        agent.send(now, notify.body("text/plain", body.getBytes(java.nio.charset.StandardCharsets.UTF_8)),
+                groupWatcher, null, out);
+    }
+
+    // ---- calls from the own router
+
+    @Override
+    public void invited(long now, Call call, Hop from, Out out) {
+        CallHeaders headers;
+        try {
+            headers = CallHeaders.of(call.invite(), settings.services().size());
+        } catch (IllegalArgumentException e) {
+            agent.reject(now, call, 400, "Bad Request", out);
+            return;
+        }
+        boolean own = call.invite().header("Route") == null;
+        if (own && headers.origin() >= 0) {
+            countCold(now, out);
+        }
+        ExchangeSettings.Work work = settings.work();
+        long wait = processor.queued(now);
+        if (wait > work.queueLimit()) {
+            long named = work.tellsWait() ? wait - work.queueLimit() / 2 : 0;
+            processor.work(now, work.refuse(), (at, o) -> {
+                int cause = own ? Outcomes.PROCESSOR_FULL : Outcomes.OWN_EXCHANGE;
+                agent.reject(at, call, 503, "Processor Full", o, "Reason", Outcomes.reason(cause, "processor full"),
+                        "Retry-After", Outcomes.retryAfter(named));
+            });
+            return;
+        }
+        long repeats = 0;
+        for (long gap = work.resend(); gap > 0 && gap < wait; gap *= 2) {
+            repeats++;
+        }
+        processor.work(now, work.setUp() + repeats * work.repeat(), (at, o) -> {
+            // A set-up that was given up while it waited is dropped.
+            if (call.trying()) {
+                if (own) {
+                    ring(at, call, headers, o);
+                } else {
+                    carryOn(at, call, headers, at - now, o);
+                }
+            }
+        });
+    }
+
+    /** Rule 4: set-ups from all routers within a window, against what a cold processor can do. */
+    private void countCold(long now, Out out) {
+        if (!processor.cold(now)) {
+            return;
+        }
+        ExchangeSettings.Rules rules = settings.rules();
+        coldSetUps.add(now);
+        while (coldSetUps.peek() <= now - rules.fallWindow()) {
+            coldSetUps.poll();
+        }
+        double can = processor.capacity(now) * rules.fallWindow() / settings.work().setUp();
+        if (coldSetUps.size() > rules.fallMultiple() * can) {
+            fallen = true;
+            out.log("fell-over", "", coldSetUps.size() + " set-ups");
+        }
+    }
+
+    private void ring(long now, Call call, CallHeaders headers, Out out) {
+        long number = Long.parseLong(headers.number().isEmpty() ? "0" : headers.number());
+        boolean hot = number > 0 && number < 100;
+        if (hot && busyLines.getOrDefault(number, 0) >= settings.hotLines()) {
+            agent.reject(now, call, 486, "Busy Here", out, "Reason",
+                    Outcomes.reason(Outcomes.LINES_BUSY, "lines busy"));
+            return;
+        }
+        if (hot) {
+            busyLines.merge(number, 1, Integer::sum);
+        }
+        call.owner(new Line(call, number, hot));
+        if (chance.nextDouble() < loseAnswers) {
+            out.log("answer-lost", call.sessionId(), "");
+            return;
+        }
+        processor.work(now, settings.work().answer(), (at, o) -> agent.answer(at, call, o));
+    }
+
+    private void freeLine(Line line) {
+        if (line.hot) {
+            busyLines.merge(line.number, -1, Integer::sum);
+        }
+    }
+
+    private void carryOn(long now, Call call, CallHeaders headers, long waited, Out out) {
+        SipUri route = SipUri.of(call.invite().header("Route"));
+        if (route == null) {
+            agent.reject(now, call, 400, "Route", out);
+            return;
+        }
+        SipMessage invite = agent.request("INVITE", SipUri.text(headers.number(), route.hop()));
+        long hops = coralcove.sip.Params.of("x;n=" + call.invite().header("Max-Forwards", "70")).number("n", 70);
+        invite.set("Max-Forwards", Long.toString(hops - 1));
+        CallHeaders.write(invite, headers, settings.number(), Math.max(0, headers.left() - waited), call.sessionId());
+        Relay relay = new Relay(call, route.user().matches("\\d{1,5}") ? Integer.parseInt(route.user()) : -1);
+        call.owner(relay);
+        relays.add(relay);
+        relay.out = agent.invite(now, invite, route.hop(), relay, out);
+    }
+
+    @Override
+    public void progressed(long now, Call call, SipMessage response, Out out) {
+        // A ringing tells the router nothing that it needs.
+    }
+
+    @Override
+    public void answered(long now, Call call, SipMessage response, Out out) {
+        if (call.owner() instanceof Caller caller) {
+            processor.work(now, settings.work().answer(), (at, o) -> stands(at, caller, call, o));
+            return;
+        }
+        Relay relay = (Relay) call.owner();
+        processor.work(now, settings.work().answer(), (at, o) -> {
+            if (relay.in.trying()) {
+                agent.answer(at, relay.in, o);
+            } else if (!relay.in.stands()) {
+                agent.bye(at, relay.out, null, o);
+            }
+        });
+    }
+
+    @Override
+    public void rejected(long now, Call call, SipMessage response, Agent.Lost lost, Out out) {
+        if (call.owner() instanceof Caller caller) {
+            refused(now, caller, call, response, out);
+            return;
+        }
+        Relay relay = (Relay) call.owner();
+        relays.remove(relay);
+        if (response == null) {
+            boolean down = lost == Agent.Lost.UNREACHABLE;
+            agent.reject(now, relay.in, down ? 502 : 408, "No Answer", out, "Reason",
+                    Outcomes.reason(down ? Outcomes.UNREACHABLE : 102, "no answer"));
+            return;
+        }
+        java.util.ArrayList<String> extra = new java.util.ArrayList<>();
+        for (String name : List.of("Reason", "Retry-After", "X-Circuits")) {
+            if (response.header(name) != null) {
+                extra.add(name);
+                extra.add(response.header(name));
+            }
+        }
+        agent.reject(now, relay.in, response.status(), response.reason(), out, extra.toArray(String[]::new));
+    }
+
+    @Override
+    public void cancelled(long now, Call call, Out out) {
+        if (call.owner() instanceof Relay relay) {
+            relays.remove(relay);
+            if (relay.out.trying()) {
+                agent.cancel(now, relay.out, out);
+            }
+        } else if (call.owner() instanceof Line line) {
+            freeLine(line);
+        }
+    }
+
+    @Override
+    public void hungUp(long now, Call call, SipMessage bye, Out out) {
+        processor.work(now, settings.work().release(), Processor::nothing);
+        if (call.owner() instanceof Caller caller) {
+            cutOff(caller);
+        } else if (call.owner() instanceof Line line) {
+            freeLine(line);
+        } else if (call.owner() instanceof Relay relay) {
+            relays.remove(relay);
+            String reason = bye == null ? null : bye.header("Reason");
+            Call other = call == relay.in ? relay.out : relay.in;
+            if (other.trying() && other == relay.out) {
+                agent.cancel(now, other, out);
+            }
+            agent.bye(now, other, reason, out);
+        }
+    }
+
+    // ---- the own callers
+
+    private void nextArrival() {
+        Arrival next = arrivals.poll();
+        if (next != null) {
+            timers.set(next.at(), (at, out) -> {
+                nextArrival();
+                if (!fallen) {
+                    dial(at, new Caller(next, settings.services().get(next.service())), out);
+                }
+            });
+        }
+    }
+
+    private void dial(long now, Caller caller, Out out) {
+        caller.tries++;
+        caller.tryAt = now;
+        long limit = limit(caller, now);
+        if (processor.queued(now) > settings.work().queueLimit()) {
+            stats.turnedAway++;
+            processor.work(now, settings.work().refuse(), Processor::nothing);
+            redial(now, caller, 0);
+            return;
+        }
+        caller.patience = timers.set(now + limit, (at, o) -> giveUp(at, caller, o));
+        processor.work(now, settings.work().look(), (at, o) -> {
+            if (at < caller.tryAt + limit) {
+                ask(at, caller, limit - (at - caller.tryAt), o);
+            }
+        });
+    }
+
+    /** How long this try may take: a share of the service's limit, and what is left since the first try. */
+    private long limit(Caller caller, long now) {
+        long share = (long) (settings.callers().tryShare() * caller.service.limit());
+        return Math.min(share, caller.arrival.at() + caller.service.limit() - now);
+    }
+
+    private void ask(long now, Caller caller, long left, Out out) {
+        Arrival arrival = caller.arrival;
+        stats.sessions++;
+        SipMessage invite = agent.request("INVITE", SipUri.text(Long.toString(arrival.number()), settings.edge()));
+        boolean redial = settings.callers().marksRedials() && caller.tries > 1;
+        CallHeaders headers = new CallHeaders(arrival.service(), caller.service.value(), caller.service.width(),
+                redial, false, arrival.farEnd(), -1, left, Long.toString(arrival.number()));
+        CallHeaders.write(invite, headers, -1, left, sessionId());
+        caller.call = agent.invite(now, invite, settings.edge(), caller, out);
+    }
+
+    /** RFC 7989: 32 hexadecimal digits, from the seed. */
+    private String sessionId() {
+        sessionIds++;
+        return String.format("%08x%08x%016x", settings.number(), sessionIds, chance.nextLong());
+    }
+
+    private void giveUp(long now, Caller caller, Out out) {
+        if (caller.up) {
+            return;
+        }
+        stats.gaveUp++;
+        if (caller.call != null && caller.call.trying()) {
+            agent.cancel(now, caller.call, out);
+        } else if (caller.call != null) {
+            agent.bye(now, caller.call, null, out);
+        }
+        caller.call = null;
+        redial(now, caller, 0);
+    }
+
+    private void stands(long now, Caller caller, Call call, Out out) {
+        if (caller.call != call || !call.stands()) {
+            return;
+        }
+        timers.cancel(caller.patience);
+        caller.up = true;
+        stats.stood++;
+        stats.finalAnswers++;
+        long took = now - caller.arrival.at();
+        stats.setUp.recordValue(Math.min(now - caller.tryAt, stats.setUp.getHighestTrackableValue()));
+        caller.earned = caller.service.value() * (took <= caller.service.target() ? 1 : caller.service.lateValue());
+        stats.valueServed += caller.earned;
+        timers.set(now + caller.arrival.hold(), (at, o) -> {
+            if (call.stands()) {
+                processor.work(at, settings.work().release(), (then, p) -> agent.bye(then, call, null, p));
+            }
+        });
+    }
+
+    private void cutOff(Caller caller) {
+        stats.cut++;
+        stats.valueServed -= caller.earned;
+        caller.earned = 0;
+    }
+
+    private void refused(long now, Caller caller, Call call, SipMessage response, Out out) {
+        if (caller.call != call) {
+            return;
+        }
+        timers.cancel(caller.patience);
+        caller.call = null;
+        if (response == null) {
+            stats.gaveUp++;
+            redial(now, caller, 0);
+            return;
+        }
+        stats.finalAnswers++;
+        if (response.status() == 480 || response.status() == 486 || response.status() == 503) {
+            stats.busyReplied++;
+        } else {
+            stats.terminated++;
+        }
+        redial(now, caller, Outcomes.retryAfter(response));
+    }
+
+    private void redial(long now, Caller caller, long named) {
+        ExchangeSettings.Callers habits = settings.callers();
+        if (caller.tries > habits.redials()) {
+            return;
+        }
+        long backoff = (habits.backoff() << (caller.tries - 1)) * (50 + chance.nextInt(101)) / 100;
+        long wait = named > 0 && chance.nextDouble() < habits.honour() ? named : backoff;
+        if (now + wait < caller.arrival.at() + caller.service.limit()) {
+            timers.set(now + wait, (at, o) -> dial(at, caller, o));
+        }
+    }
+
+    // ---- other requests
+
+    @Override
+    public void request(long now, ServerTx tx, Hop from, Out out) {
+        SipMessage request = tx.request();
+        switch (request.method()) {
+            case "OPTIONS" -> processor.work(now, settings.work().probe(), (at, o) -> agent.respond(at, tx,
+                    agent.reply(tx, 200, "OK").add("X-Load", load(at)), o));
+            case "SUBSCRIBE" -> {
+                agent.respond(now, tx, agent.reply(tx, 200, "OK").add("Expires",
+                        request.header("Expires", "60")), out);
+                SipUri contact = SipUri.of(request.header("Contact", ""));
+                groupWatcher = contact == null ? settings.edge() : contact.hop();
+                StringBuilder body = new StringBuilder();
+                groups.forEach((number, size) -> body.append(number).append(' ').append(size).append('\n'));
+                tellGroups(now, body.toString(), out);
+            }
+            default -> agent.respond(now, tx, agent.reply(tx, 405, "Method Not Allowed"), out);
+        }
+    }
+
+    /** "-1,-1,util,queue": free circuits and size are the asker's to know. */
+    private String load(long now) {
+        double span = Math.max(1, now - lastLooked);
+        double busy = Math.min(1, (processor.worked() - lastWorked) / span);
+        util += Math.min(1, span / UTIL_SPAN) * (busy - util);
+        lastLooked = now;
+        lastWorked = processor.worked();
+        return String.format(java.util.Locale.ROOT, "-1,-1,%.3f,%d", util, processor.queued(now) / settings.work().setUp());
+    }
+
+    @Override
+    public void replied(long now, ClientTx tx, SipMessage response, Out out) {
+        // A NOTIFY that was lost is made good by the next subscription.
+    }
+}
--- /dev/null
+++ b/src/main/java/coralcove/sip/BadMessage.java
@@ -0,0 +1,16 @@
+package coralcove.sip;
+
+/** What was read is no SIP message; {@code partial} is what could be read of a request, to answer 400, or null. */
+public final class BadMessage extends Exception {
+    private static final long serialVersionUID = 1;
+    private final transient SipMessage partial;
+
+    public BadMessage(String reason, SipMessage partial) {
+        super(reason);
+        this.partial = partial;
+    }
+
+    public SipMessage partial() {
+        return partial;
+    }
+}
--- /dev/null
+++ b/src/main/java/coralcove/sip/Core.java
@@ -0,0 +1,21 @@
+package coralcove.sip;
+
+/**
+ * A program without its sockets and clock: times and inputs in, actions out. One thread owns it. Times are whole
+ * microseconds since the epoch. {@link #due} says when {@link #tick} is wanted next, Long.MAX_VALUE for never.
+ */
+public interface Core {
+    void start(long now, Out out);
+
+    void receive(long now, Hop from, SipMessage message, Out out);
+
+    /** Something that was read from {@code from} and is no message. */
+    void malformed(long now, Hop from, BadMessage problem, Out out);
+
+    /** A stream to {@code peer} has broken or could not be opened. */
+    void broken(long now, Hop peer, Out out);
+
+    void tick(long now, Out out);
+
+    long due();
+}
--- /dev/null
+++ b/src/main/java/coralcove/sip/SipMessage.java
@@ -0,0 +1,206 @@
+package coralcove.sip;
+
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+
+/**
+ * One SIP message (RFC 3261 section 7): a start line, header fields in the order of the wire, a body. Header
+ * names compare without regard to case; what this program does not look at passes through unchanged.
+ */
+public final class SipMessage {
+    private static final byte[] NO_BODY = {};
+
+    private final String method;
+    private final String uri;
+    private final int status;
+    private final String reason;
+    private final List<Field> fields = new ArrayList<>(12);
+    private byte[] body = NO_BODY;
+
+    private SipMessage(String method, String uri, int status, String reason) {
+        this.method = method;
+        this.uri = uri;
+        this.status = status;
+        this.reason = reason;
+    }
+
+    public static SipMessage request(String method, String uri) {
+        return new SipMessage(method, uri, 0, "");
+    }
+
+    public static SipMessage status(int status, String reason) {
+        return new SipMessage("", "", status, reason);
+    }
+
+    /** A response to {@code request} with the fields that RFC 3261 8.2.6.2 copies; the To tag is added if absent. */
+    public static SipMessage reply(SipMessage request, int status, String reason, String toTag) {
+        SipMessage reply = status(status, reason);
+        for (Field field : request.fields) {
+            switch (field.name()) {
+                case "Via", "From", "Call-ID", "CSeq" -> reply.fields.add(field);
+                case "To" -> reply.fields.add(status == 100 || field.value().contains(";tag=") ? field
+                        : new Field("To", field.value() + ";tag=" + toTag));
+                default -> { }
+            }
+        }
+        return reply;
+    }
+
+    public boolean isRequest() {
+        return status == 0;
+    }
+
+    public String method() {
+        return method;
+    }
+
+    public String uri() {
+        return uri;
+    }
+
+    public int status() {
+        return status;
+    }
+
+    public String reason() {
+        return reason;
+    }
+
+    public byte[] body() {
+        return body;
+    }
+
+    public String text() {
+        return new String(body, StandardCharsets.UTF_8);
+    }
+
+    public List<Field> fields() {
+        return fields;
+    }
+
+    /** The first value of this header, or null. */
+    public String header(String name) {
+        for (Field field : fields) {
+            if (field.name().equalsIgnoreCase(name)) {
+                return field.value();
+            }
+        }
+        return null;
+    }
+
+    public String header(String name, String otherwise) {
+        String value = header(name);
+        return value == null ? otherwise : value;
+    }
+
+    public List<String> headers(String name) {
+        List<String> values = new ArrayList<>();
+        for (Field field : fields) {
+            if (field.name().equalsIgnoreCase(name)) {
+                values.add(field.value());
+            }
+        }
+        return values;
+    }
+
+    public SipMessage add(String name, String value) {
+        fields.add(new Field(name, value));
+        return this;
+    }
+
+    public SipMessage addFirst(String name, String value) {
+        fields.add(0, new Field(name, value));
+        return this;
+    }
+
+    public SipMessage set(String name, String value) {
+        for (int i = 0; i < fields.size(); i++) {
+            if (fields.get(i).name().equalsIgnoreCase(name)) {
+                fields.set(i, new Field(name, value));
+                return this;
+            }
+        }
+        return add(name, value);
+    }
+
+    public SipMessage removeFirst(String name) {
+        for (int i = 0; i < fields.size(); i++) {
+            if (fields.get(i).name().equalsIgnoreCase(name)) {
+                fields.remove(i);
+                return this;
+            }
+        }
+        return this;
+    }
+
+    public SipMessage body(String type, byte[] bytes) {
+        set("Content-Type", type);
+        body = bytes;
+        return this;
+    }
+
+    void rawBody(byte[] bytes) {
+        body = bytes;
+    }
+
+    /** CSeq's number, or -1 where there is none that can be read. */
+    public long sequence() {
+        String value = header("CSeq");
+        int space = value == null ? -1 : value.indexOf(' ');
+        try {
+            return space < 0 ? -1 : Long.parseLong(value.substring(0, space));
+        } catch (NumberFormatException e) {
+            return -1;
+        }
+    }
+
+    /** CSeq's method; of a request its own. */
+    public String cseqMethod() {
+        if (isRequest()) {
+            return method;
+        }
+        String value = header("CSeq", "");
+        return value.substring(value.indexOf(' ') + 1).strip();
+    }
+
+    public String callId() {
+        return header("Call-ID", "");
+    }
+
+    public String fromTag() {
+        return Params.of(header("From", "")).get("tag", "");
+    }
+
+    public String toTag() {
+        return Params.of(header("To", "")).get("tag", "");
+    }
+
+    public byte[] bytes() {
+        StringBuilder out = new StringBuilder(512);
+        if (isRequest()) {
+            out.append(method).append(' ').append(uri).append(" SIP/2.0\r\n");
+        } else {
+            out.append("SIP/2.0 ").append(status).append(' ').append(reason).append("\r\n");
+        }
+        for (Field field : fields) {
+            if (!field.name().equals("Content-Length")) {
+                out.append(field.name()).append(": ").append(field.value()).append("\r\n");
+            }
+        }
+        out.append("Content-Length: ").append(body.length).append("\r\n\r\n");
+        byte[] head = out.toString().getBytes(StandardCharsets.UTF_8);
+        if (body.length == 0) {
+            return head;
+        }
+        byte[] all = new byte[head.length + body.length];
+        System.arraycopy(head, 0, all, 0, head.length);
+        System.arraycopy(body, 0, all, head.length, body.length);
+        return all;
+    }
+
+    @Override
+    public String toString() {
+        return isRequest() ? method + " " + uri : status + " " + reason + " (" + cseqMethod() + ")";
+    }
+}
--- /dev/null
+++ b/src/main/java/coralcove/sip/dialog/Call.java
@@ -0,0 +1,73 @@
+package coralcove.sip.dialog;
+
+import coralcove.sip.Hop;
+import coralcove.sip.SipMessage;
+import coralcove.sip.transaction.ClientTx;
+import coralcove.sip.transaction.ServerTx;
+
+/** One leg: an INVITE sent or received, and the dialog that its 2xx makes. Owned by one {@link Agent}. */
+public final class Call {
+    enum State { TRYING, STANDS, ENDED }
+
+    final boolean outgoing;
+    final SipMessage invite;
+    final String localTag;
+    final String sessionId;
+    Object owner;
+    String remoteTag = "";
+    String remoteTarget = "";
+    Hop remoteHop;
+    long localSequence;
+    long remoteSequence = -1;
+    ClientTx client;
+    ServerTx server;
+    SipMessage ack;
+    boolean heard;
+    boolean cancelled;
+    State state = State.TRYING;
+
+    Call(boolean outgoing, SipMessage invite, String localTag) {
+        this.outgoing = outgoing;
+        this.invite = invite;
+        this.localTag = localTag;
+        sessionId = invite.header("Session-ID", "");
+        localSequence = outgoing ? invite.sequence() : 1;
+    }
+
+    public SipMessage invite() {
+        return invite;
+    }
+
+    public String sessionId() {
+        return sessionId;
+    }
+
+    public Object owner() {
+        return owner;
+    }
+
+    public void owner(Object it) {
+        owner = it;
+    }
+
+    public boolean outgoing() {
+        return outgoing;
+    }
+
+    public boolean stands() {
+        return state == State.STANDS;
+    }
+
+    public boolean trying() {
+        return state == State.TRYING;
+    }
+
+    /** Whether its own side gave it up before it was answered. */
+    public boolean cancelled() {
+        return cancelled;
+    }
+
+    String key() {
+        return invite.callId() + "|" + localTag;
+    }
+}
