--- /dev/null
+++ b/src/main/java/coralcove/baseline/Direct.java
@@ -0,0 +1,143 @@
+package coralcove.baseline;
+
+import coralcove.Answer;
+import coralcove.CallRouter;
+import coralcove.Cause;
+import coralcove.Ending;
+import coralcove.Exchange;
+import coralcove.Session;
+import coralcove.Settings;
+import coralcove.Waiting;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * A baseline to hold the module against: a session goes direct if a circuit is free, and with {@code tandems}
+ * over the first tandem with room, in the order of the list. It keeps drains, one INVITE and the release wait.
+ */
+public final class Direct implements CallRouter {
+    private static final class Held {
+        final Session session;
+        int sent;
+        long notBefore;
+        final List<Long> tried = new ArrayList<>();
+
+        Held(Session session) {
+            this.session = session;
+        }
+    }
+
+    private final Settings settings;
+    private final boolean tandems;
+    private final Map<Long, Exchange> list = new LinkedHashMap<>();
+    private final Map<Long, Integer> free = new HashMap<>();
+    private final Map<Long, Held> held = new HashMap<>();
+    private boolean subscribe = true;
+    private long subscribeAt;
+
+    public Direct(Settings settings, boolean tandems) {
+        this.settings = settings;
+        this.tandems = tandems;
+    }
+
+    @Override
+    public Answer route(long now, Session session) {
+        return choose(now, held.computeIfAbsent(session.id(), id -> new Held(session)));
+    }
+
+    private Answer choose(long now, Held it) {
+        if (now < it.notBefore) {
+            return Answer.later(it.notBefore);
+        }
+        Session session = it.session;
+        if (it.sent < settings.inviteLimit() && session.limit() > now) {
+            for (Exchange each : list.values()) {
+                if (each.number() == session.farEnd() && fits(each, it)) {
+                    return send(now, it, each);
+                }
+            }
+            for (Exchange each : list.values()) {
+                boolean tandem = tandems && !session.transit() && each.number() != settings.ownNumber()
+                        && each.number() != session.farEnd();
+                if (tandem && fits(each, it)) {
+                    return send(now, it, each);
+                }
+            }
+        }
+        held.remove(session.id());
+        return Answer.refuse(settings.longestComeBack());
+    }
+
+    private boolean fits(Exchange each, Held it) {
+        return each.phase() == Exchange.Phase.READY && !it.tried.contains(each.id())
+                && free.getOrDefault(each.id(), 0) >= it.session.width();
+    }
+
+    private Answer send(long now, Held it, Exchange to) {
+        it.sent++;
+        it.tried.add(to.id());
+        return Answer.send(to.id(), it.session.limit() - now);
+    }
+
+    @Override
+    public Answer after(long now, long session, Ending ending, Cause cause, long exchange, long took, long namedWait,
+            boolean over) {
+        Held it = held.get(session);
+        if (ending == Ending.STANDS || over || it == null) {
+            held.remove(session);
+            return Answer.NOTHING;
+        }
+        if (ending == Ending.TIMED_OUT || ending == Ending.RESET || ending == Ending.CANCELLED) {
+            it.notBefore = now + settings.releaseWait();
+        }
+        if (it.notBefore >= it.session.limit()) {
+            held.remove(session);
+            return Answer.refuse(settings.longestComeBack());
+        }
+        return choose(now, it);
+    }
+
+    @Override
+    public Waiting waiting(long now) {
+        boolean ask = subscribe && now >= subscribeAt;
+        subscribe &= !ask;
+        return new Waiting(subscribe ? subscribeAt : 0, List.of(), List.of(), ask);
+    }
+
+    @Override
+    public void roster(long now, boolean whole, List<Exchange> exchanges) {
+        if (whole) {
+            list.clear();
+        }
+        exchanges.forEach(each -> list.put(each.id(), each));
+    }
+
+    @Override
+    public void rosterLost(long now) {
+        subscribe = true;
+        subscribeAt = now + 1_000_000;
+    }
+
+    @Override
+    public void circuits(long now, long exchange, int circuits, int size) {
+        free.put(exchange, circuits);
+    }
+
+    @Override
+    public void report(long now, long exchange, boolean passed, long took, float[] columns) {
+        // Baselines do not probe.
+    }
+
+    @Override
+    public void peer(long now, int rank, byte[] body) {
+        // Baselines do not listen to peers.
+    }
+
+    @Override
+    public void ended(long now, long session) {
+        held.remove(session);
+    }
+}
--- a/src/main/java/coralcove/edge/Outcomes.java
+++ b/src/main/java/coralcove/edge/Outcomes.java
@@ -32,7 +32,9 @@
     public static Outcome of(SipMessage response, Lost lost, boolean heard) {
         if (response == null) {
             return switch (lost) {
-                case UNREACHABLE -> plain(heard ? Ending.RESET : Ending.UNREACHABLE, Cause.NONE);
+                // The first hop is the own exchange: unheard of, the INVITE never left.
+                case UNREACHABLE -> heard ? plain(Ending.RESET, Cause.NONE)
+                        : plain(Ending.NOT_SENT, Cause.PROCESSOR_FULL);
                 case TIMED_OUT, NO -> plain(Ending.TIMED_OUT, Cause.NONE);
             };
         }
--- a/src/main/java/coralcove/exchange/ExchangeCore.java
+++ b/src/main/java/coralcove/exchange/ExchangeCore.java
@@ -15,8 +15,10 @@
 import coralcove.sip.transaction.ServerTx;
 import java.util.ArrayDeque;
 import java.util.HashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.TreeMap;
 import java.util.random.RandomGenerator;
@@ -72,7 +74,9 @@
     private final Stats stats;
     private final TreeMap<Integer, Integer> groups;
     private final Map<Long, Integer> busyLines = new HashMap<>();
-    private final List<Relay> relays = new java.util.ArrayList<>();
+    private final Set<Relay> relays = new LinkedHashSet<>();
+    private final Set<Line> lines = new LinkedHashSet<>();
+    private final Set<Caller> up = new LinkedHashSet<>();
     private final ArrayDeque<Long> coldSetUps = new ArrayDeque<>();
     private Hop groupWatcher;
     private double loseAnswers;
@@ -181,6 +185,14 @@
         for (Relay relay : List.copyOf(relays)) {
             cut(now, relay, out);
         }
+        String reason = Outcomes.reason(Outcomes.CUT, "cut");
+        lines.forEach(line -> agent.bye(now, line.call, reason, out));
+        lines.clear();
+        for (Caller caller : up) {
+            cutOff(caller);
+            agent.bye(now, caller.call, reason, out);
+        }
+        up.clear();
     }
 
     /** Sets a group's circuits; calls that it carries out of here are cut with {@code share} when it shrinks. */
@@ -282,7 +294,9 @@
         if (hot) {
             busyLines.merge(number, 1, Integer::sum);
         }
-        call.owner(new Line(call, number, hot));
+        Line line = new Line(call, number, hot);
+        call.owner(line);
+        lines.add(line);
         if (chance.nextDouble() < loseAnswers) {
             out.log("answer-lost", call.sessionId(), "");
             return;
@@ -291,6 +305,7 @@
     }
 
     private void freeLine(Line line) {
+        lines.remove(line);
         if (line.hot) {
             busyLines.merge(line.number, -1, Integer::sum);
         }
@@ -373,7 +388,9 @@
     public void hungUp(long now, Call call, SipMessage bye, Out out) {
         processor.work(now, settings.work().release(), Processor::nothing);
         if (call.owner() instanceof Caller caller) {
-            cutOff(caller);
+            if (up.remove(caller)) {
+                cutOff(caller);
+            }
         } else if (call.owner() instanceof Line line) {
             freeLine(line);
         } else if (call.owner() instanceof Relay relay) {
@@ -462,6 +479,7 @@
         }
         timers.cancel(caller.patience);
         caller.up = true;
+        up.add(caller);
         stats.stood++;
         stats.finalAnswers++;
         long took = now - caller.arrival.at();
@@ -470,12 +488,16 @@
         stats.valueServed += caller.earned;
         timers.set(now + caller.arrival.hold(), (at, o) -> {
             if (call.stands()) {
+                up.remove(caller);
                 processor.work(at, settings.work().release(), (then, p) -> agent.bye(then, call, null, p));
             }
         });
     }
 
     private void cutOff(Caller caller) {
+        if (!caller.up) {
+            return;
+        }
         stats.cut++;
         stats.valueServed -= caller.earned;
         caller.earned = 0;
--- /dev/null
+++ b/src/main/java/coralcove/judge/Judge.java
@@ -0,0 +1,354 @@
+package coralcove.judge;
+
+import coralcove.edge.CallHeaders;
+import coralcove.edge.Outcomes;
+import coralcove.network.Network;
+import coralcove.sip.BadMessage;
+import coralcove.sip.Hop;
+import coralcove.sip.SipMessage;
+import coralcove.sip.SipParser;
+import coralcove.sip.SipUri;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * Judges the five rules from captured traffic alone: each message that a call router read or wrote, with its time.
+ * Call routers are the nodes named {@code edge-N}; {@link #killed} and the end of the capture close what is open.
+ */
+public class Judge implements Network.Tap {
+    /** Services a header may name; the judge holds no settings of the routers. */
+    private static final int SERVICES = 1000;
+
+    /** One session at one router, from the INVITE it read. */
+    private static final class Seen {
+        final String node;
+        final String sessionId;
+        final long at;
+        final long left;
+        final boolean lines;
+        boolean cancelled;
+        int finals;
+        String answer = "";
+        long answeredAt;
+        final List<Sent> sent = new ArrayList<>();
+
+        Seen(String node, String sessionId, long at, long left, boolean lines) {
+            this.node = node;
+            this.sessionId = sessionId;
+            this.at = at;
+            this.left = left;
+            this.lines = lines;
+        }
+    }
+
+    /** One INVITE that a router wrote. */
+    private static final class Sent {
+        final long at;
+        final long until;
+        long endedAt = Long.MAX_VALUE;
+        boolean waits;
+
+        Sent(long at, long left) {
+            this.at = at;
+            until = at + left;
+        }
+
+        long over() {
+            return Math.min(endedAt, until);
+        }
+
+        /** Whether the session must wait for the release: it ended by time, reset or cancel. */
+        boolean mustWait() {
+            return endedAt > until || waits;
+        }
+    }
+
+    /** What one router has been told of one exchange. */
+    private static final class Told {
+        int number;
+        boolean ready;
+        long notReadyAt;
+        long since;
+        long sinceAt;
+    }
+
+    private record Arrived(long at, boolean told) {}
+
+    private final Rules rules;
+    private final Map<String, Seen> byCall = new HashMap<>();
+    private final Map<String, Seen> bySession = new LinkedHashMap<>();
+    private final Map<String, Sent> sentByCall = new HashMap<>();
+    private final Map<String, Map<Long, Told>> lists = new HashMap<>();
+    private final Map<String, Boolean> setUps = new HashMap<>();
+    private final Map<Integer, ArrayDeque<Arrived>> cold = new HashMap<>();
+    private final Map<Integer, Long> starts = new HashMap<>();
+    private final Map<String, Verdict> verdicts = new LinkedHashMap<>();
+    private long unreadable;
+
+    public Judge(Rules rules) {
+        this.rules = rules;
+        for (String rule : List.of("final_answer", "one_invite", "drain", "cold", "release")) {
+            verdicts.put(rule, new Verdict(rule));
+        }
+    }
+
+    public Map<String, Verdict> verdicts() {
+        return verdicts;
+    }
+
+    /** Messages that were captured and could not be read; a router's own are never among them. */
+    public long unreadable() {
+        return unreadable;
+    }
+
+    /** A call router was killed: what it held is no longer its duty. */
+    public void killed(String node) {
+        bySession.values().removeIf(seen -> seen.node.equals(node));
+        byCall.values().removeIf(seen -> seen.node.equals(node));
+        lists.remove(node);
+    }
+
+    /** A processor started cold at {@code since}, as its registration tells. */
+    public void started(int number, long since) {
+        starts.put(number, since);
+        cold.remove(number);
+    }
+
+    @Override
+    public void message(long now, String node, boolean out, Hop peer, byte[] bytes) {
+        SipMessage message;
+        try {
+            message = SipParser.parse(bytes, 0, bytes.length);
+        } catch (BadMessage e) {
+            unreadable++;
+            return;
+        }
+        switch (message.cseqMethod()) {
+            case "INVITE" -> {
+                if (message.isRequest()) {
+                    if (message.toTag().isEmpty()) {
+                        if (out) {
+                            sent(now, node, message);
+                        } else {
+                            read(now, node, message);
+                        }
+                    }
+                } else if (message.status() >= 200) {
+                    if (out) {
+                        answered(now, node, message);
+                    } else {
+                        settled(now, node, message);
+                    }
+                }
+            }
+            case "CANCEL" -> cancelled(now, node, out, message);
+            case "NOTIFY" -> {
+                if (!out && message.isRequest()) {
+                    notified(now, node, message);
+                }
+            }
+            default -> { }
+        }
+    }
+
+    private static String key(String node, SipMessage message) {
+        return node + "|" + message.callId();
+    }
+
+    private void read(long now, String node, SipMessage invite) {
+        if (byCall.containsKey(key(node, invite))) {
+            return;
+        }
+        CallHeaders headers;
+        try {
+            headers = CallHeaders.of(invite, SERVICES);
+        } catch (IllegalArgumentException e) {
+            return;
+        }
+        int number = Integer.parseInt(node.substring(node.indexOf('-') + 1));
+        String sessionId = invite.header("Session-ID", "");
+        Seen seen = new Seen(node, sessionId, now, headers.left(), headers.farEnd() == number);
+        byCall.put(key(node, invite), seen);
+        bySession.put(node + "|" + sessionId, seen);
+        if (headers.origin() >= 0) {
+            arrived(now, node, number, headers.origin(), invite);
+        }
+    }
+
+    private void answered(long now, String node, SipMessage response) {
+        Seen seen = byCall.get(key(node, response));
+        if (seen == null) {
+            return;
+        }
+        String answer = response.status() + response.toTag();
+        if (answer.equals(seen.answer)) {
+            return;
+        }
+        seen.finals++;
+        if (seen.finals == 1) {
+            seen.answer = answer;
+            seen.answeredAt = now;
+        }
+        if (seen.finals > 1) {
+            verdicts.get("final_answer").check(false, now, node, seen.sessionId, "a further final answer "
+                    + response.status());
+        }
+    }
+
+    private void sent(long now, String node, SipMessage invite) {
+        Seen seen = bySession.get(node + "|" + invite.header("Session-ID", ""));
+        if (seen == null) {
+            return;
+        }
+        Sent known = sentByCall.get(key(node, invite));
+        Verdict one = verdicts.get("one_invite");
+        if (known != null) {
+            // A repeat of the same INVITE, once it is over, would put it out again beside the next.
+            one.check(now <= known.over(), now, node, seen.sessionId, "an INVITE that is over is sent again");
+            return;
+        }
+        long left = Long.parseLong(invite.header("X-Time-Left", "0").strip());
+        Sent sent = new Sent(now, left);
+        sentByCall.put(key(node, invite), sent);
+        if (seen.finals > 0 || seen.cancelled) {
+            verdicts.get("final_answer").check(false, now, node, seen.sessionId, "an INVITE after the final answer");
+        }
+        if (!seen.sent.isEmpty()) {
+            Sent last = seen.sent.get(seen.sent.size() - 1);
+            one.check(now >= last.over(), now, node, seen.sessionId, "two INVITEs out");
+            if (now >= last.over() && last.mustWait()) {
+                verdicts.get("release").check(now >= last.over() + rules.releaseWait(), now, node, seen.sessionId,
+                        "sent again " + (now - last.over()) + " us after the end");
+            }
+        } else {
+            one.check(true, now, node, seen.sessionId, "");
+        }
+        seen.sent.add(sent);
+        if (!seen.lines) {
+            drained(now, node, seen, invite);
+        }
+    }
+
+    private void drained(long now, String node, Seen seen, SipMessage invite) {
+        SipUri route = SipUri.of(invite.header("Route", ""));
+        if (route == null || !route.user().matches("\\d{1,5}")) {
+            return;
+        }
+        int number = Integer.parseInt(route.user());
+        long last = Long.MIN_VALUE;
+        boolean ready = false;
+        boolean listed = false;
+        for (Told told : lists.getOrDefault(node, Map.of()).values()) {
+            if (told.number == number) {
+                listed = true;
+                ready |= told.ready;
+                last = Math.max(last, told.notReadyAt);
+            }
+        }
+        verdicts.get("drain").check(!listed || ready || now <= last + rules.drainGrace(), now, node, seen.sessionId,
+                "to " + number + " " + (now - last) + " us after it was told");
+    }
+
+    private void settled(long now, String node, SipMessage response) {
+        Sent sent = sentByCall.get(key(node, response));
+        if (sent != null && sent.endedAt == Long.MAX_VALUE) {
+            sent.endedAt = now;
+            int cause = Outcomes.cause(response);
+            sent.waits = response.status() == 408 || response.status() == 487 || cause == Outcomes.CUT;
+        }
+    }
+
+    private void cancelled(long now, String node, boolean out, SipMessage message) {
+        if (!message.isRequest()) {
+            return;
+        }
+        if (out) {
+            Sent sent = sentByCall.get(key(node, message));
+            if (sent != null && sent.endedAt == Long.MAX_VALUE) {
+                sent.endedAt = now;
+                sent.waits = true;
+            }
+        } else {
+            Seen seen = byCall.get(key(node, message));
+            if (seen != null) {
+                seen.cancelled = true;
+            }
+        }
+    }
+
+    private void notified(long now, String node, SipMessage notify) {
+        if (!notify.header("Event", "").equals("exchanges")) {
+            return;
+        }
+        Map<Long, Told> list = lists.computeIfAbsent(node, n -> new HashMap<>());
+        List<String> lines = notify.text().lines().toList();
+        Map<Long, Boolean> named = new HashMap<>();
+        for (String line : lines) {
+            String[] parts = line.split(" ");
+            if (parts.length != 5 || !parts[0].matches("\\d+")) {
+                continue;
+            }
+            Told told = list.computeIfAbsent(Long.parseLong(parts[0]), id -> new Told());
+            named.put(Long.parseLong(parts[0]), true);
+            told.number = Integer.parseInt(parts[1]);
+            boolean ready = parts[2].equals("ready");
+            if (told.ready && !ready || told.notReadyAt == 0 && !ready) {
+                told.notReadyAt = now;
+            }
+            told.ready = ready;
+            long since = Long.parseLong(parts[3]);
+            if (since != told.since) {
+                told.since = since;
+                told.sinceAt = now;
+            }
+        }
+        if (!lines.isEmpty() && lines.get(0).endsWith("full")) {
+            list.forEach((id, told) -> {
+                if (told.ready && !named.containsKey(id)) {
+                    told.ready = false;
+                    told.notReadyAt = now;
+                }
+            });
+        }
+    }
+
+    /** Rule 4, by a budget for every window: what reached a cold exchange against what it could do then. */
+    private void arrived(long now, String node, int number, int origin, SipMessage invite) {
+        long since = starts.getOrDefault(number, 0L);
+        long age = now - since;
+        if (since <= 0 || age < 0 || age >= rules.warmUp() || setUps.putIfAbsent(key(node, invite), true) != null) {
+            return;
+        }
+        ArrayDeque<Arrived> window = cold.computeIfAbsent(number, n -> new ArrayDeque<>());
+        boolean told = lists.getOrDefault("edge-" + origin, Map.of()).values().stream()
+                .anyMatch(t -> t.number == number && t.since == since && t.sinceAt <= now);
+        window.add(new Arrived(now, told));
+        while (window.peek().at <= now - rules.fallWindow()) {
+            window.poll();
+        }
+        double capacity = rules.coldFrom() + (1 - rules.coldFrom()) * age / rules.warmUp();
+        double budget = rules.fallMultiple() * capacity * rules.setUpsPerSecond() * rules.fallWindow() / 1e6;
+        long knowing = window.stream().filter(Arrived::told).count();
+        boolean kept = window.size() <= budget || knowing * 3 < window.size() * 2L;
+        verdicts.get("cold").check(kept, now, node, invite.header("Session-ID", ""), window.size()
+                + " set-ups to a cold exchange that can bear " + (long) budget);
+    }
+
+    /** Closes the capture: every session whose time has run out by then must have had its answer in time. */
+    public void end(long now) {
+        Verdict verdict = verdicts.get("final_answer");
+        for (Seen seen : byCall.values()) {
+            long limit = seen.at + seen.left + rules.answerGrace();
+            if (seen.finals == 0 && (limit > now || seen.cancelled)) {
+                continue;
+            }
+            boolean kept = seen.finals > 0 && seen.answeredAt <= limit;
+            verdict.check(kept, now, seen.node, seen.sessionId, seen.finals == 0 ? "no final answer"
+                    : "answered " + (seen.answeredAt - limit) + " us too late");
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/coralcove/network/Network.java
@@ -0,0 +1,34 @@
+package coralcove.network;
+
+import coralcove.sip.Core;
+import coralcove.sip.Hop;
+import coralcove.sip.Out;
+
+/** Where cores run: sockets and a clock, or a seeded network in virtual time. Both run the same classes. */
+public interface Network {
+    /** What a day does to a core at a moment, on the core's own thread. */
+    interface Act {
+        void run(long now, Out out);
+    }
+
+    /** Hears of every message that a tapped node sends or reads, with its time. */
+    interface Tap {
+        void message(long now, String node, boolean out, Hop peer, byte[] bytes);
+    }
+
+    /** Starts a core as the node {@code name}, reached over UDP and TCP at {@code self}'s address. */
+    void add(String name, Hop self, Core core, boolean tapped);
+
+    /** Ends a node as a kill does: nothing more of it is sent, and what comes for it is lost. */
+    void kill(String name);
+
+    void on(String name, Act act);
+
+    /** Runs {@code act} at a moment, outside any core. */
+    void at(long time, Runnable act);
+
+    long now();
+
+    /** Goes on until {@code end}. */
+    void run(long end);
+}
--- /dev/null
+++ b/src/main/java/coralcove/rehearsal/Day.java
@@ -0,0 +1,56 @@
+package coralcove.rehearsal;
+
+import coralcove.Settings;
+import coralcove.exchange.Arrival;
+import coralcove.exchange.ExchangeSettings;
+import coralcove.judge.Rules;
+import coralcove.network.VirtualNetwork.Weather;
+import java.util.ArrayList;
+import java.util.List;
+
+/**
+ * A day ready to be played: who is there, which groups join them, when which caller dials, what goes wrong and
+ * when. Times are µs from the day's first moment; {@code groups[i][j]} are the circuits between i and j.
+ */
+public record Day(String name, long length, int[] zones, int[][] groups, List<List<Arrival>> arrivals,
+        List<Service> services, ExchangeSettings.Work work, double[] speeds, ExchangeSettings.Callers callers, int hotLines,
+        Late late, Rules rules, Router router, Weather weather, String transport, List<Trouble> troubles,
+        List<String> unmapped) {
+
+    public record Service(String name, long target, long limit, double value, double lateValue, int width,
+            long hold) {}
+
+    /** How late the directory's news is, µs. */
+    public record Late(long notice, long silence, long add) {}
+
+    /** What routers are allowed. */
+    public record Router(int invites, long comeBack, boolean peers, boolean redialsMarked, long answerMargin,
+            int mostOpen) {}
+
+    public int exchanges() {
+        return zones.length;
+    }
+
+    /** The module's settings at exchange {@code number}. */
+    public Settings settings(int number) {
+        List<Settings.Service> list = new ArrayList<>();
+        for (Service each : services) {
+            list.add(new Settings.Service(each.target, each.value, each.lateValue, each.width, each.hold, true,
+                    List.of()));
+        }
+        return new Settings(exchanges(), number, false, list, router.invites, router.redialsMarked,
+                router.comeBack > 0, router.comeBack, router.peers, true, rules.releaseWait(),
+                rules.fallMultiple(), rules.fallWindow(), rules.coldFrom(), rules.warmUp());
+    }
+
+    /** The value of all first tries. */
+    public double offered() {
+        double sum = 0;
+        for (List<Arrival> list : arrivals) {
+            for (Arrival each : list) {
+                sum += services.get(each.service()).value;
+            }
+        }
+        return sum;
+    }
+}
--- /dev/null
+++ b/src/main/java/coralcove/rehearsal/DayFile.java
@@ -0,0 +1,200 @@
+package coralcove.rehearsal;
+
+import coralcove.config.BadConfig;
+import coralcove.config.Toml;
+import coralcove.exchange.ExchangeSettings;
+import coralcove.judge.Rules;
+import coralcove.network.VirtualNetwork.Weather;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.SplittableRandom;
+import java.util.random.RandomGenerator;
+
+/** Reads a TOML day and draws from its seed what the file leaves to chance: pulls, group sizes, callers. */
+public final class DayFile {
+    private static final int MOST_EXCHANGES = 500;
+
+    private DayFile() {}
+
+    public static Day read(Path path, long seed) throws BadConfig {
+        return of(Toml.read(path), seed);
+    }
+
+    /** A seed of 0 takes the file's own. */
+    public static Day of(Toml toml, long seed) throws BadConfig {
+        Toml.Table day = toml.table("day");
+        String name = day.text("name");
+        long length = day.seconds("length_s", 1, 3600);
+        long own = day.whole("seed", 1, Integer.MAX_VALUE, 1);
+        RandomGenerator chance = new SplittableRandom(seed == 0 ? own : seed);
+        Toml.Table size = toml.table("size");
+        int n = size.whole("exchanges", 2, MOST_EXCHANGES);
+        int districts = size.whole("districts", 1, n, 1);
+        int[] zones = new int[n];
+        for (int i = 0; i < n; i++) {
+            zones[i] = i % districts;
+        }
+        List<Day.Service> services = new ArrayList<>();
+        List<Traffic.Mix> mix = new ArrayList<>();
+        for (Toml.Table each : toml.list("service")) {
+            long target = each.millis("target_ms", 1, 60_000);
+            long limit = each.millis("limit_ms", 1, 600_000);
+            if (limit < target) {
+                throw each.bad("limit_ms", "is shorter than target_ms");
+            }
+            long hold = each.seconds("hold_s", 0.001, 3600);
+            services.add(new Day.Service(each.text("name"), target, limit, each.number("value", 0, 1e6),
+                    each.number("late_value", 0, 1, 0), each.whole("width", 1, 64, 1), hold));
+            mix.add(new Traffic.Mix(each.number("share", 0, 1e6), hold));
+        }
+        if (services.isEmpty()) {
+            throw toml.table("service").bad("name", "a day needs at least one [[service]]");
+        }
+        List<Trouble> troubles = troubles(toml, n, length);
+        Toml.Table traffic = toml.table("traffic");
+        double load = traffic.number("load", 0.01, 10, 1);
+        double perSecond = traffic.number("sessions_per_s", 0.01, 100_000);
+        double missed = traffic.number("missed_cv", 0, 2, 0);
+        double spare = traffic.number("spare", 0, 10, 0.3);
+        double unlinked = traffic.number("unlinked", 0, 0.9, 0);
+        double[][] plan = pulls(n, zones, traffic.number("pair_cv", 0, 2, 0.3),
+                traffic.number("local", 0.1, 10, 1), chance);
+        double each = perSecond / n;
+        int[][] groups = groups(plan, each, mix, services, spare, unlinked, chance);
+        double[][] pull = new double[n][n];
+        for (int i = 0; i < n; i++) {
+            for (int j = 0; j < n; j++) {
+                pull[i][j] = plan[i][j] * Traffic.spread(chance, missed);
+            }
+        }
+        double[] rates = new double[n];
+        Arrays.fill(rates, each * load);
+        Traffic drawn = new Traffic(chance, pull, mix, troubles, length, traffic.seconds("drift_s", 0, 3600, 0),
+                traffic.number("drift_cv", 0, 2, 0));
+        double[] speeds = new double[n];
+        Arrays.fill(speeds, 1);
+        int hotLines = traffic.whole("hot_lines", 1, 1000, 8);
+        ExchangeSettings.Work work = work(toml.table("processor"), each);
+        Day.Router router = router(toml.table("router"));
+        Toml.Table callers = toml.table("callers");
+        ExchangeSettings.Callers habits = new ExchangeSettings.Callers(callers.whole("redials", 0, 10, 2),
+                callers.number("try_share", 0.01, 1, 0.35), callers.millis("backoff_ms", 1, 60_000, 700),
+                callers.number("honour", 0, 1, 0.7), router.redialsMarked());
+        Toml.Table late = toml.table("directory");
+        Day.Late lateness = new Day.Late(late.millis("notice_ms", 0, 60_000, 1000),
+                late.millis("silence_ms", 1500, 120_000, 8000), late.millis("add_ms", 0, 60_000, 800));
+        Rules rules = rules(toml.table("rules"), work);
+        Toml.Table net = toml.table("net");
+        Weather weather = new Weather(net.millis("near_ms", 0.001, 1000, 0.1), net.millis("same_ms", 0.001, 1000, 1),
+                net.millis("cross_ms", 0.001, 1000, 5), net.number("jitter", 0, 0.9, 0.1), net.number("loss", 0, 0.9, 0),
+                net.number("doubled", 0, 0.9, 0), net.number("reordered", 0, 0.9, 0), net.number("reset", 0, 0.5, 0));
+        String transport = net.oneOf("transport", List.of("udp", "tcp", "mixed"), "udp");
+        toml.nothingElse();
+        return new Day(name, length, zones, groups, drawn.draw(rates), services, work, speeds, habits, hotLines,
+                lateness, rules, router, weather, transport, troubles, List.of());
+    }
+
+    private static List<Trouble> troubles(Toml toml, int n, long length) throws BadConfig {
+        List<Trouble> troubles = new ArrayList<>();
+        for (Toml.Table each : toml.list("trouble")) {
+            List<Integer> on = new ArrayList<>();
+            for (int number : each.wholes("on", 0, n - 1)) {
+                on.add(number);
+            }
+            String kind = each.oneOf("kind", Trouble.KINDS, "");
+            long at = each.seconds("at_s", 0, 3600);
+            if (at >= length) {
+                throw each.bad("at_s", "is past the end of the day");
+            }
+            if (on.isEmpty() && List.of("swamped", "death", "drain", "router-death", "ageing").contains(kind)) {
+                throw each.bad("on", "names no exchange, and a " + kind + " needs one");
+            }
+            double most = List.of("lost-answers", "other-work").contains(kind) ? 1 : 1e6;
+            troubles.add(new Trouble(kind, at, each.seconds("len_s", 0.01, 3600), on, each.number("size", 0, most, 1),
+                    each.number("extra", 0, 1e6, 0)));
+        }
+        return troubles;
+    }
+
+    private static double[][] pulls(int n, int[] zones, double cv, double local, RandomGenerator chance) {
+        double[][] pull = new double[n][n];
+        for (int i = 0; i < n; i++) {
+            double sum = 0;
+            for (int j = 0; j < n; j++) {
+                pull[i][j] = i == j ? 0 : Traffic.spread(chance, cv) * (zones[i] == zones[j] ? local : 1);
+                sum += pull[i][j];
+            }
+            for (int j = 0; j < n; j++) {
+                pull[i][j] /= sum;
+            }
+        }
+        return pull;
+    }
+
+    /** Planned circuits and a share of their root to spare; thin pairs are left without, their load on others. */
+    private static int[][] groups(double[][] plan, double each, List<Traffic.Mix> mix, List<Day.Service> services,
+            double spare, double unlinked, RandomGenerator chance) {
+        int n = plan.length;
+        double shares = mix.stream().mapToDouble(Traffic.Mix::share).sum();
+        double erlangs = 0;
+        for (int s = 0; s < mix.size(); s++) {
+            erlangs += each * mix.get(s).share() / shares * mix.get(s).hold() / 1e6 * services.get(s).width();
+        }
+        double[][] load = new double[n][n];
+        List<int[]> pairs = new ArrayList<>();
+        for (int i = 0; i < n; i++) {
+            for (int j = i + 1; j < n; j++) {
+                load[i][j] = (plan[i][j] + plan[j][i]) * erlangs;
+                pairs.add(new int[] {i, j});
+            }
+        }
+        pairs.sort((a, b) -> Double.compare(load[a[0]][a[1]], load[b[0]][b[1]]));
+        int cut = n < 3 ? 0 : (int) (unlinked * pairs.size());
+        for (int[] pair : pairs.subList(0, cut)) {
+            int over = chance.nextInt(n);
+            while (over == pair[0] || over == pair[1]) {
+                over = chance.nextInt(n);
+            }
+            double moved = load[pair[0]][pair[1]];
+            load[pair[0]][pair[1]] = 0;
+            load[Math.min(pair[0], over)][Math.max(pair[0], over)] += moved;
+            load[Math.min(pair[1], over)][Math.max(pair[1], over)] += moved;
+        }
+        int[][] groups = new int[n][n];
+        for (int[] pair : pairs) {
+            double planned = load[pair[0]][pair[1]];
+            int size = planned <= 0 ? 0 : (int) Math.ceil(planned + spare * Math.sqrt(planned));
+            groups[pair[0]][pair[1]] = size;
+            groups[pair[1]][pair[0]] = size;
+        }
+        return groups;
+    }
+
+    /** Work in µs from the use of the processor at load 1, all sessions direct. */
+    private static ExchangeSettings.Work work(Toml.Table table, double each) throws BadConfig {
+        double use = table.number("use", 0.001, 0.99, 0.7);
+        double look = table.number("look", 0, 5, 0.2);
+        double follow = table.number("follow", 0, 5, 0.35);
+        double setUp = 1e6 * use / (each * (look + 2 + 4 * follow));
+        return new ExchangeSettings.Work((long) (look * setUp), (long) setUp, (long) (follow * setUp),
+                (long) (follow * setUp), (long) (table.number("reject", 0, 5, 0.2) * setUp),
+                (long) (table.number("repeat", 0, 5, 0.4) * setUp), table.millis("probe_ms", 0, 1000, 0.3),
+                table.millis("queue_ms", 1, 60_000, 2000), table.flag("tells_wait", true),
+                table.millis("resend_ms", 0, 60_000, 0));
+    }
+
+    private static Rules rules(Toml.Table table, ExchangeSettings.Work work) throws BadConfig {
+        return new Rules(table.millis("answer_grace_ms", 0, 10_000, 20), table.millis("drain_grace_ms", 0, 60_000, 1000),
+                table.millis("release_ms", 0, 60_000, 300), table.number("fall_multiple", 1, 100, 3),
+                table.millis("fall_ms", 1, 60_000, 1500), table.number("cold_from", 0.01, 1, 0.32),
+                table.seconds("warm_s", 0.01, 600, 12), 1e6 / work.setUp());
+    }
+
+    private static Day.Router router(Toml.Table table) throws BadConfig {
+        return new Day.Router(table.whole("invites", 1, 20, 4), table.millis("come_back_ms", 0, 60_000, 2000),
+                table.flag("peers", true), table.flag("redials_marked", true),
+                table.millis("answer_margin_ms", 0, 5000, 20), table.whole("max_open", 1, 1_000_000, 20_000));
+    }
+}
--- /dev/null
+++ b/src/main/java/coralcove/rehearsal/Rehearsal.java
@@ -0,0 +1,253 @@
+package coralcove.rehearsal;
+
+import coralcove.CallRouter;
+import coralcove.Choice;
+import coralcove.Settings;
+import coralcove.baseline.Direct;
+import coralcove.directory.DirectoryCore;
+import coralcove.edge.EdgeCore;
+import coralcove.edge.EdgeSettings;
+import coralcove.exchange.Arrival;
+import coralcove.exchange.ExchangeCore;
+import coralcove.exchange.ExchangeSettings;
+import coralcove.exchange.Stats;
+import coralcove.judge.Judge;
+import coralcove.network.Network;
+import coralcove.sip.Hop;
+import coralcove.sip.Out;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+
+/** Plays a day on a network, live or virtual: routers, stand-ins and troubles at their times. */
+public final class Rehearsal {
+    public static final List<String> POLICIES = List.of("choice", "direct", "first-tandem");
+    /** µs before the first caller: lists and group sizes are told by then. */
+    private static final long LEAD = 2_000_000;
+    /** µs after the last caller: the longest limit has passed and all is answered. */
+    private static final long TAIL = 12_000_000;
+    /** Steps in which an ageing exchange grows slower. */
+    private static final int AGE_STEPS = 20;
+
+    private final Day day;
+    private final long seed;
+    private final String policy;
+    private final Network network;
+    private final int firstPort;
+    private final Judge judge;
+    private final Stats[] stats;
+    private final Map<String, ExchangeCore> exchanges = new HashMap<>();
+    private final long[] ids;
+    private final List<String> notes = new ArrayList<>();
+    private int starts;
+    private long zero;
+
+    public Rehearsal(Day day, long seed, String policy, Network network, int firstPort, Judge judge) {
+        this.day = day;
+        this.seed = seed;
+        this.policy = policy;
+        this.network = network;
+        this.firstPort = firstPort;
+        this.judge = judge;
+        stats = new Stats[day.exchanges()];
+        ids = new long[day.exchanges()];
+    }
+
+    /** What routers a policy's name stands for. */
+    public static CallRouter router(String policy, Settings settings, long seed) {
+        return switch (policy) {
+            case "direct" -> new Direct(settings, false);
+            case "first-tandem" -> new Direct(settings, true);
+            default -> new Choice(settings, new SplittableRandom(seed));
+        };
+    }
+
+    public static int ports(Day day) {
+        return 2 * day.exchanges() + 1;
+    }
+
+    private boolean tcp(int number) {
+        return day.transport().equals("tcp") || day.transport().equals("mixed") && number % 2 == 1;
+    }
+
+    private Hop edge(int number) {
+        return new Hop(tcp(number), "127.0.0.1", firstPort + 2 * number);
+    }
+
+    private Hop exchange(int number) {
+        return new Hop(tcp(number), "127.0.0.1", firstPort + 2 * number + 1);
+    }
+
+    private Hop directory() {
+        return new Hop(false, "127.0.0.1", firstPort + 2 * day.exchanges());
+    }
+
+    /** Plays the day through its tail; returns what its callers saw, all exchanges together. */
+    public Stats play() {
+        zero = network.now() + LEAD;
+        Day.Late late = day.late();
+        network.add("directory", directory(), new DirectoryCore(directory(),
+                new DirectoryCore.Late(late.notice(), late.silence(), late.add()), start()), false);
+        for (int i = 0; i < day.exchanges(); i++) {
+            stats[i] = new Stats();
+            ids[i] = 100 + i;
+            addExchange(i, 0);
+        }
+        for (int i = 0; i < day.exchanges(); i++) {
+            addEdge(i);
+        }
+        day.troubles().forEach(this::schedule);
+        network.run(zero + day.length() + TAIL);
+        judge.end(network.now());
+        Stats all = new Stats();
+        for (Stats each : stats) {
+            all.add(each);
+        }
+        return all;
+    }
+
+    private String start() {
+        starts++;
+        return Long.toString(seed & 0xffffff, 36) + "x" + Integer.toString(starts, 36);
+    }
+
+    private void addEdge(int number) {
+        EdgeSettings settings = new EdgeSettings(number, edge(number), exchange(number), directory(),
+                day.settings(number), day.router().answerMargin(), day.router().mostOpen(), seed, start());
+        network.add("edge-" + number, edge(number), new EdgeCore(settings,
+                router(policy, settings.module(), seed * 1000 + number)), true);
+    }
+
+    private void addExchange(int number, long since) {
+        Map<Integer, Integer> groups = new HashMap<>();
+        for (int other = 0; other < day.exchanges(); other++) {
+            if (other != number) {
+                groups.put(other, day.groups()[number][other]);
+            }
+        }
+        List<ExchangeSettings.Service> services = day.services().stream().map(s -> new ExchangeSettings.Service(
+                s.target(), s.limit(), s.value(), s.lateValue(), s.width())).toList();
+        var rules = day.rules();
+        double speed = day.speeds()[number];
+        ExchangeSettings.Work work = day.work();
+        ExchangeSettings.Work own = new ExchangeSettings.Work((long) (work.look() / speed),
+                (long) (work.setUp() / speed), (long) (work.answer() / speed), (long) (work.release() / speed),
+                (long) (work.refuse() / speed), (long) (work.repeat() / speed), work.probe(), work.queueLimit(),
+                work.tellsWait(), work.resend());
+        ExchangeSettings settings = new ExchangeSettings(number, ids[number], exchange(number), edge(number),
+                directory(), own, services, day.callers(), new ExchangeSettings.Rules(rules.fallMultiple(),
+                rules.fallWindow(), rules.coldFrom(), rules.warmUp()), since, groups, day.hotLines(),
+                seed * 7919 + starts, start());
+        List<Arrival> arrivals = day.arrivals().get(number).stream().map(a -> new Arrival(zero + a.at(),
+                a.service(), a.farEnd(), a.number(), a.hold())).toList();
+        ExchangeCore core = new ExchangeCore(settings, arrivals, stats[number]);
+        exchanges.put("exchange-" + number, core);
+        if (since > 0) {
+            judge.started(number, since);
+        }
+        network.add("exchange-" + number, exchange(number), core, false);
+    }
+
+    private interface OnExchange {
+        void run(long now, ExchangeCore core, Out out);
+    }
+
+    /** {@code at} counts from the day's first moment. */
+    private void act(long at, int number, OnExchange act) {
+        network.at(zero + at, () -> network.on("exchange-" + number,
+                (now, out) -> act.run(now, exchanges.get("exchange-" + number), out)));
+    }
+
+    private void schedule(Trouble trouble) {
+        int place = 0;
+        for (int number = 0; number < day.exchanges(); number++) {
+            if (trouble.strikes(number)) {
+                strike(trouble, number, place++);
+            }
+        }
+    }
+
+    private void strike(Trouble trouble, int number, int place) {
+        long at = trouble.at();
+        long end = trouble.end();
+        switch (trouble.kind()) {
+            case "death" -> dies(number, at, trouble.length());
+            case "drain" -> {
+                long from = at + place * trouble.length() / Math.max(1, trouble.on().size());
+                act(from, number, (now, core, out) -> core.drain(now, out));
+                long stops = from + Math.round(trouble.extra() * 1e6);
+                network.at(zero + stops, () -> ids[number] += 1000);
+                dies(number, stops, 0);
+            }
+            case "slow" -> {
+                act(at, number, (now, core, out) -> core.slow(trouble.size()));
+                act(end, number, (now, core, out) -> core.slow(1));
+            }
+            case "other-work" -> {
+                long step = Math.max(100_000, Math.round(trouble.extra() * 1e6));
+                for (long from = at; from < end; from += 2 * step) {
+                    act(from, number, (now, core, out) -> core.slow(1 / Math.max(0.01, 1 - trouble.size())));
+                    act(Math.min(end, from + step), number, (now, core, out) -> core.slow(1));
+                }
+            }
+            case "stall" -> {
+                long every = Math.max(100_000, Math.round(trouble.extra() * 1e6));
+                for (long from = at; from < end; from += every) {
+                    act(from, number, (now, core, out) -> core.stall(now, now + Math.round(trouble.size() * 1000)));
+                }
+            }
+            case "silence" -> {
+                act(at, number, (now, core, out) -> core.hang(true));
+                act(end, number, (now, core, out) -> core.hang(false));
+            }
+            case "lost-answers" -> {
+                act(at, number, (now, core, out) -> core.loseAnswers(trouble.size()));
+                act(end, number, (now, core, out) -> core.loseAnswers(0));
+            }
+            case "lost-circuits" -> {
+                circuits(at, number, trouble, 1 / Math.sqrt(Math.max(1, trouble.size())));
+                circuits(end, number, trouble, 1);
+            }
+            case "ageing" -> {
+                for (int step = 0; step < AGE_STEPS; step++) {
+                    double factor = 1 + (trouble.size() - 1) * step / AGE_STEPS;
+                    act(at + step * trouble.length() / AGE_STEPS, number, (now, core, out) -> core.slow(factor));
+                }
+                dies(number, end, Math.round(trouble.extra() * 1e6));
+            }
+            case "router-death" -> {
+                network.at(zero + at, () -> {
+                    network.kill("edge-" + number);
+                    judge.killed("edge-" + number);
+                });
+                network.at(zero + end, () -> addEdge(number));
+            }
+            default -> { }
+        }
+    }
+
+    private void dies(int number, long at, long back) {
+        act(at, number, (now, core, out) -> core.cutAll(now, out));
+        network.at(zero + at + 1000, () -> network.kill("exchange-" + number));
+        network.at(zero + at + 2000 + back, () -> addExchange(number, network.now()));
+    }
+
+    /** Groups between the struck exchanges and all others keep a share of their circuits, at both ends alike. */
+    private void circuits(long at, int number, Trouble trouble, double keep) {
+        for (int other = 0; other < day.exchanges(); other++) {
+            if (trouble.on().contains(other)) {
+                continue;
+            }
+            int size = (int) Math.floor(day.groups()[number][other] * keep);
+            int far = other;
+            act(at, number, (now, core, out) -> core.group(now, far, size, 1 - keep, out));
+            act(at, other, (now, core, out) -> core.group(now, number, size, 1 - keep, out));
+        }
+    }
+
+    public List<String> notes() {
+        return notes;
+    }
+}
--- /dev/null
+++ b/src/main/java/coralcove/rehearsal/Result.java
@@ -0,0 +1,41 @@
+package coralcove.rehearsal;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import coralcove.exchange.Stats;
+import coralcove.judge.Verdict;
+import java.util.Map;
+import org.HdrHistogram.Histogram;
+
+/** What a rehearsal came to: what the callers saw, and what the judge found. */
+public record Result(String day, String policy, long seed, boolean virtual, double seconds, double offered, Stats stats,
+        Histogram added, Map<String, Verdict> rules) {
+    public double share() {
+        return offered == 0 ? 0 : stats.valueServed / offered;
+    }
+
+    public boolean kept() {
+        return rules.values().stream().allMatch(v -> v.broken() == 0);
+    }
+
+    public ObjectNode json() {
+        ObjectNode out = new ObjectMapper().createObjectNode();
+        out.put("day", day).put("policy", policy).put("seed", seed).put("virtual", virtual);
+        out.put("sessions", stats.sessions).put("final_answers", stats.finalAnswers).put("stood", stats.stood);
+        out.put("busy_replied", stats.busyReplied).put("terminated", stats.terminated);
+        out.put("gave_up", stats.gaveUp).put("turned_away", stats.turnedAway).put("cut", stats.cut);
+        out.put("value_offered", round(offered)).put("value_served", round(stats.valueServed));
+        out.put("sessions_per_second", round(stats.sessions / seconds));
+        out.put("added_p50_us", added.getValueAtPercentile(50)).put("added_p99_us", added.getValueAtPercentile(99));
+        out.put("set_up_p50_us", stats.setUp.getValueAtPercentile(50));
+        out.put("set_up_p99_us", stats.setUp.getValueAtPercentile(99));
+        ObjectNode all = out.putObject("rules");
+        rules.forEach((name, verdict) -> all.putObject(name).put("checked", verdict.checked())
+                .put("broken", verdict.broken()));
+        return out;
+    }
+
+    private static double round(double value) {
+        return Math.round(value * 1000) / 1000.0;
+    }
+}
