--- /dev/null
+++ b/src/main/java/coralcove/cli/Commands.java
@@ -0,0 +1,321 @@
+package coralcove.cli;
+
+import coralcove.config.BadConfig;
+import coralcove.config.Toml;
+import coralcove.directory.DirectoryCore;
+import coralcove.directory.DirectoryFile;
+import coralcove.edge.EdgeCore;
+import coralcove.edge.EdgeFile;
+import coralcove.exchange.Arrival;
+import coralcove.exchange.ExchangeCore;
+import coralcove.exchange.ExchangeFile;
+import coralcove.exchange.ExchangeSettings;
+import coralcove.exchange.Stats;
+import coralcove.judge.Judge;
+import coralcove.judge.Verdict;
+import coralcove.network.LiveNetwork;
+import coralcove.rehearsal.BenchDay;
+import coralcove.rehearsal.CaptureLine;
+import coralcove.rehearsal.Day;
+import coralcove.rehearsal.DayFile;
+import coralcove.rehearsal.Rehearsal;
+import coralcove.rehearsal.Rehearse;
+import coralcove.rehearsal.Result;
+import coralcove.sip.Core;
+import coralcove.sip.Hop;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Locale;
+import java.util.concurrent.Callable;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
+import picocli.CommandLine;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Option;
+import picocli.CommandLine.Parameters;
+
+/** The command line. Exit 0 good, 1 bad input, 2 usage, 3 a rule broken. */
+@Command(name = "coralcove", mixinStandardHelpOptions = true, version = "coralcove 0.2.0",
+        description = "A call router for a private voice network, its stand-ins and rehearsals.",
+        subcommands = {Commands.Edge.class, Commands.Exchange.class, Commands.Directory.class,
+            Commands.RehearseCommand.class, Commands.JudgeCommand.class, Commands.Check.class, Commands.DrillHelp.class},
+        footer = {"", "Exit: 0 good, 1 bad input, 2 usage, 3 a rule broken.", "", "Examples:",
+            "  coralcove rehearse days/bad-day.toml --virtual",
+            "  coralcove check deploy/examples/edge-0.toml",
+            "  coralcove edge deploy/examples/edge-0.toml"})
+public final class Commands implements Runnable {
+    static final int BAD_INPUT = 1;
+    static final int RULE_BROKEN = 3;
+    /** µs that a router told to end has for the answers it owes: longer than any caller waits. */
+    private static final long LAST_ANSWERS = 30_000_000;
+
+    @CommandLine.Spec
+    private CommandLine.Model.CommandSpec spec;
+
+    static int run(String[] args) {
+        CommandLine line = new CommandLine(new Commands());
+        line.setExecutionExceptionHandler((e, command, result) -> {
+            Throwable cause = e instanceof UncheckedIOException ? e.getCause() : e;
+            if (cause instanceof BadConfig || cause instanceof IOException) {
+                System.err.println("coralcove: " + cause.getMessage());
+                return BAD_INPUT;
+            }
+            throw e;
+        });
+        return line.execute(args);
+    }
+
+    @Override
+    public void run() {
+        throw new CommandLine.ParameterException(spec.commandLine(), "a command is missing");
+    }
+
+    /** Options of all commands that log. */
+    static final class Logging {
+        @Option(names = "--log", paramLabel = "LEVEL", defaultValue = "INFO",
+                description = "what is logged as JSON lines on standard error: ERROR, WARN, INFO (default) or OFF")
+        String level;
+
+        void set() {
+            System.setProperty("coralcove.log", level);
+        }
+    }
+
+    private static void serve(String name, Hop self, Core core, AtomicBoolean stop, CountDownLatch ended)
+            throws IOException {
+        LiveNetwork network = new LiveNetwork(null);
+        network.add(name, self, core, false);
+        Runtime.getRuntime().addShutdownHook(new Thread(() -> {
+            stop.set(true);
+            try {
+                ended.await(LAST_ANSWERS, TimeUnit.MICROSECONDS);
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+            network.close();
+            Runtime.getRuntime().halt(0);
+        }));
+        System.err.println("coralcove: " + name + " listens on " + self.host() + ":" + self.port() + " (UDP and TCP)");
+        boolean told = false;
+        while (true) {
+            network.run(network.now() + 50_000);
+            if (stop.get() && core instanceof EdgeCore edge) {
+                boolean first = !told;
+                told = true;
+                network.on(name, (now, out) -> {
+                    if (first) {
+                        out.log("stopping", "", "");
+                        edge.stop();
+                    } else if (edge.idle()) {
+                        ended.countDown();
+                    }
+                });
+            } else if (stop.get()) {
+                ended.countDown();
+            }
+        }
+    }
+
+    @Command(name = "edge", mixinStandardHelpOptions = true, description = "Runs one call router.",
+            footer = {"", "Ends on SIGTERM once all sessions in hand have their answer.", "Example:",
+                "  coralcove edge deploy/examples/edge-0.toml"})
+    static final class Edge implements Callable<Integer> {
+        @Parameters(paramLabel = "CONFIG", description = "settings, TOML")
+        private Path config;
+        @CommandLine.Mixin
+        private Logging logging;
+
+        @Override
+        public Integer call() throws Exception {
+            logging.set();
+            EdgeFile file = EdgeFile.of(Toml.read(config));
+            EdgeCore core = new EdgeCore(file.settings(), Rehearsal.router(file.policy(), file.settings().module(),
+                    file.settings().seed()));
+            serve("edge-" + file.settings().number(), file.settings().self(), core, new AtomicBoolean(),
+                    new CountDownLatch(1));
+            return 0;
+        }
+    }
+
+    @Command(name = "exchange", mixinStandardHelpOptions = true, description = "Runs a stand-in exchange.",
+            footer = {"", "Example:", "  coralcove exchange deploy/examples/exchange-0.toml"})
+    static final class Exchange implements Callable<Integer> {
+        @Parameters(paramLabel = "CONFIG", description = "settings, TOML")
+        private Path config;
+        @CommandLine.Mixin
+        private Logging logging;
+
+        @Override
+        public Integer call() throws Exception {
+            logging.set();
+            ExchangeFile file = ExchangeFile.of(Toml.read(config));
+            long now = LiveNetwork.clock();
+            ExchangeSettings settings = file.cold() ? file.settings().startedAt(now) : file.settings();
+            List<Arrival> arrivals = file.arrivals().stream().map(a -> a.after(now)).toList();
+            serve("exchange-" + settings.number(), settings.self(), new ExchangeCore(settings, arrivals, new Stats()),
+                    new AtomicBoolean(), new CountDownLatch(1));
+            return 0;
+        }
+    }
+
+    @Command(name = "directory", mixinStandardHelpOptions = true, description = "Runs the stand-in directory.",
+            footer = {"", "Example:", "  coralcove directory deploy/examples/directory.toml"})
+    static final class Directory implements Callable<Integer> {
+        @Parameters(paramLabel = "CONFIG", description = "settings, TOML")
+        private Path config;
+        @CommandLine.Mixin
+        private Logging logging;
+
+        @Override
+        public Integer call() throws Exception {
+            logging.set();
+            DirectoryFile file = DirectoryFile.of(Toml.read(config));
+            serve("directory", file.listen(), new DirectoryCore(file.listen(), file.late(),
+                    Long.toString(System.nanoTime() & 0xffffffffL, 36)), new AtomicBoolean(), new CountDownLatch(1));
+            return 0;
+        }
+    }
+
+    /** Which day is meant, and with which seed. */
+    static final class DayChoice {
+        @Parameters(paramLabel = "DAY", arity = "0..1", description = "the day, TOML")
+        private Path day;
+        @Option(names = "--from", paramLabel = "DAY.json", description = "a day as the operators' bench draws it")
+        private Path from;
+        @Option(names = "--seed", paramLabel = "N", defaultValue = "1", description = "seed of all chance (default 1)")
+        long seed;
+
+        Day read() throws BadConfig, IOException {
+            if (day == null == (from == null)) {
+                throw new BadConfig("give either DAY or --from DAY.json");
+            }
+            return from == null ? DayFile.read(day, seed) : BenchDay.read(from, seed);
+        }
+    }
+
+    @Command(name = "rehearse", mixinStandardHelpOptions = true,
+            description = "Starts routers and stand-ins, plays a day, and judges the five rules from the traffic.",
+            footer = {"", "Examples:", "  coralcove rehearse days/bad-day.toml",
+                "  coralcove rehearse days/bad-day.toml --virtual --seed 7 --policy direct --summary out.json",
+                "  coralcove rehearse --from day.json --virtual"})
+    static final class RehearseCommand implements Callable<Integer> {
+        @CommandLine.Mixin
+        private DayChoice day;
+        @Option(names = "--virtual", description = "in virtual time on a seeded network, not on sockets")
+        private boolean virtual;
+        @Option(names = "--policy", paramLabel = "NAME", defaultValue = "choice",
+                description = "choice (default), direct or first-tandem")
+        private String policy;
+        @Option(names = "--summary", paramLabel = "FILE", description = "write one JSON object there")
+        private Path summary;
+        @Option(names = "--capture", paramLabel = "FILE", description = "write the routers' traffic there, JSON lines")
+        private Path capture;
+        @Option(names = "--log", paramLabel = "LEVEL", defaultValue = "WARN",
+                description = "what is logged live as JSON lines on standard error (default WARN)")
+        private String level;
+        @CommandLine.Spec
+        private CommandLine.Model.CommandSpec spec;
+
+        @Override
+        public Integer call() throws Exception {
+            System.setProperty("coralcove.log", level);
+            if (!Rehearsal.POLICIES.contains(policy)) {
+                throw new CommandLine.ParameterException(spec.commandLine(), "--policy: " + policy + " is none of "
+                        + String.join(", ", Rehearsal.POLICIES));
+            }
+            Day it = day.read();
+            it.unmapped().forEach(line -> System.out.println("not mapped: " + line));
+            Result result = virtual ? Rehearse.virtual(it, day.seed, policy, capture, null)
+                    : Rehearse.live(it, day.seed, policy, capture);
+            print(result);
+            if (summary != null) {
+                Files.writeString(summary, result.json().toPrettyString() + "\n");
+            }
+            return result.kept() ? 0 : RULE_BROKEN;
+        }
+
+        private static void print(Result result) {
+            Stats stats = result.stats();
+            System.out.printf(Locale.ROOT, "%s, policy %s, seed %d, %s%n", result.day(), result.policy(),
+                    result.seed(), result.virtual() ? "virtual time" : "live on loopback");
+            System.out.printf(Locale.ROOT, "value served %.0f of %.0f: %.3f%n", stats.valueServed, result.offered(),
+                    result.share());
+            System.out.printf(Locale.ROOT, "sessions %d: stood %d (cut later %d), busy-replied %d, terminated %d, "
+                    + "gave up %d%n", stats.sessions, stats.stood, stats.cut, stats.busyReplied, stats.terminated,
+                    stats.gaveUp);
+            System.out.printf(Locale.ROOT, "set-up p50 %.0f ms, p99 %.0f ms; added by one router p50 %.2f ms, "
+                    + "p99 %.2f ms%n", stats.setUp.getValueAtPercentile(50) / 1e3,
+                    stats.setUp.getValueAtPercentile(99) / 1e3, result.added().getValueAtPercentile(50) / 1e3,
+                    result.added().getValueAtPercentile(99) / 1e3);
+            result.rules().values().forEach(Commands::print);
+        }
+    }
+
+    private static void print(Verdict verdict) {
+        System.out.printf(Locale.ROOT, "rule %-13s %s: checked %d, broken %d%n", verdict.rule,
+                verdict.broken() == 0 ? "kept" : "BROKEN", verdict.checked(), verdict.broken());
+        verdict.breaches().forEach(line -> System.out.println("  " + line));
+    }
+
+    @Command(name = "judge", mixinStandardHelpOptions = true,
+            description = "Judges a capture by the figures of its day; knows no kills and no cold starts but what "
+                + "the capture shows.",
+            footer = {"", "Example:", "  coralcove judge days/bad-day.toml --capture capture.jsonl"})
+    static final class JudgeCommand implements Callable<Integer> {
+        @CommandLine.Mixin
+        private DayChoice day;
+        @Option(names = "--capture", paramLabel = "FILE", required = true, description = "a capture, JSON lines")
+        private Path capture;
+
+        @Override
+        public Integer call() throws Exception {
+            Judge judge = new Judge(day.read().rules());
+            judge.end(CaptureLine.read(capture, judge));
+            judge.verdicts().values().forEach(Commands::print);
+            return judge.verdicts().values().stream().allMatch(v -> v.broken() == 0) ? 0 : RULE_BROKEN;
+        }
+    }
+
+    @Command(name = "check", mixinStandardHelpOptions = true,
+            description = "Checks a settings file or a day: a mistake is told with file, line, key and reason.",
+            footer = {"", "Example:", "  coralcove check days/bad-day.toml"})
+    static final class Check implements Callable<Integer> {
+        @Parameters(paramLabel = "CONFIG", description = "settings of any kind, TOML")
+        private Path config;
+
+        @Override
+        public Integer call() throws Exception {
+            Toml toml = Toml.read(config);
+            String kind;
+            if (toml.has("day")) {
+                kind = "a day of " + DayFile.of(toml, 0).exchanges() + " exchanges";
+            } else if (toml.has("edge")) {
+                kind = "call router " + EdgeFile.of(toml).settings().number();
+            } else if (toml.has("exchange")) {
+                kind = "stand-in exchange " + ExchangeFile.of(toml).settings().number();
+            } else if (toml.has("directory")) {
+                kind = "stand-in directory at " + DirectoryFile.of(toml).listen();
+            } else {
+                throw new BadConfig(config + ":1: none of [day], [edge], [exchange], [directory] is in the file");
+            }
+            System.out.println(config + ": good: " + kind);
+            return 0;
+        }
+    }
+
+    @Command(name = "drill", mixinStandardHelpOptions = true,
+            description = "Decides on the simulator's wire, standard input to output; takes no arguments.")
+    static final class DrillHelp implements Callable<Integer> {
+        @CommandLine.Spec
+        private CommandLine.Model.CommandSpec spec;
+
+        @Override
+        public Integer call() {
+            throw new CommandLine.ParameterException(spec.commandLine(), "drill takes no arguments");
+        }
+    }
+}
--- a/src/main/java/coralcove/cli/Main.java
+++ b/src/main/java/coralcove/cli/Main.java
@@ -1,17 +1,16 @@
 package coralcove.cli;
 
-import coralcove.drill.Drill;
 import coralcove.drill.BadFrame;
+import coralcove.drill.Drill;
 import java.io.IOException;
 
-/** The program's commands. */
+/** The program's entry. {@code drill} is started here, so that it loads none of what the other commands need. */
 public final class Main {
     private Main() {}
 
     public static void main(String[] args) {
         if (args.length != 1 || !args[0].equals("drill")) {
-            System.err.println("usage: coralcove drill   (decide on the simulator's wire, standard input to output)");
-            System.exit(2);
+            System.exit(Commands.run(args));
         }
         try {
             Drill.run(System.in, System.out);
--- a/src/main/java/coralcove/directory/DirectoryCore.java
+++ b/src/main/java/coralcove/directory/DirectoryCore.java
@@ -72,8 +72,8 @@
     }
 
     @Override
-    public void broken(long now, Hop peer, Out out) {
-        agent.broken(now, peer, out);
+    public void broken(long now, Hop peer, boolean refused, Out out) {
+        agent.broken(now, peer, refused, out);
     }
 
     @Override
--- a/src/main/java/coralcove/edge/EdgeCore.java
+++ b/src/main/java/coralcove/edge/EdgeCore.java
@@ -67,7 +67,6 @@
         Call call;
         Timers.Timer limit;
         boolean seized;
-        boolean heard;
 
         Leg(Held held, int number, long exchange, long sentAt) {
             this.held = held;
@@ -138,8 +137,8 @@
     }
 
     @Override
-    public void broken(long now, Hop peer, Out out) {
-        agent.broken(now, peer, out);
+    public void broken(long now, Hop peer, boolean refused, Out out) {
+        agent.broken(now, peer, refused, out);
         rest(now, out);
     }
 
@@ -360,7 +359,6 @@
     @Override
     public void progressed(long now, Call call, SipMessage response, Out out) {
         Leg leg = (Leg) call.owner();
-        leg.heard = true;
         if (response.status() == 180 && !leg.held.answered) {
             agent.progress(now, leg.held.in, 180, "Ringing", out);
         }
@@ -400,7 +398,7 @@
             pass(now, held, response, lost, out);
             return;
         }
-        Outcomes.Outcome outcome = Outcomes.of(response, lost, leg.heard);
+        Outcomes.Outcome outcome = Outcomes.of(response, lost);
         settle(now, leg, outcome.ending(), outcome.cause(), outcome.namedWait(), out);
     }
 
--- /dev/null
+++ b/src/main/java/coralcove/edge/EdgeFile.java
@@ -0,0 +1,63 @@
+package coralcove.edge;
+
+import coralcove.Settings;
+import coralcove.config.BadConfig;
+import coralcove.config.Hops;
+import coralcove.config.Toml;
+import java.util.ArrayList;
+import java.util.List;
+
+/** Reads a call router's settings file (docs/operating.md lists its keys). */
+public record EdgeFile(EdgeSettings settings, String policy) {
+    public static EdgeFile of(Toml toml) throws BadConfig {
+        Toml.Table edge = toml.table("edge");
+        int number = edge.whole("number", 0, 65_535);
+        long seed = edge.whole("seed", 1, Integer.MAX_VALUE, 1);
+        String policy = edge.oneOf("policy", List.of("choice", "direct", "first-tandem"), "choice");
+        List<Settings.Service> services = new ArrayList<>();
+        long shortest = Long.MAX_VALUE;
+        for (Toml.Table each : toml.list("service")) {
+            long target = each.millis("target_ms", 1, 60_000);
+            long limit = each.millis("limit_ms", 1, 600_000);
+            if (limit < target) {
+                throw each.bad("limit_ms", "is shorter than target_ms");
+            }
+            shortest = Math.min(shortest, limit);
+            each.text("name");
+            services.add(new Settings.Service(target, each.number("value", 0, 1e6),
+                    each.number("late_value", 0, 1, 0), each.whole("width", 1, 64, 1),
+                    each.seconds("hold_s", 0.001, 3600), true, List.of()));
+        }
+        if (services.isEmpty()) {
+            throw toml.table("service").bad("name", "a router needs at least one [[service]]");
+        }
+        Toml.Table limits = toml.table("limits");
+        long comeBack = limits.millis("come_back_ms", 0, 60_000, 2000);
+        long margin = limits.millis("answer_margin_ms", 0, 5000, 20);
+        if (margin >= shortest) {
+            throw limits.bad("answer_margin_ms", "leaves no time of the shortest limit_ms");
+        }
+        int invites = limits.whole("invites", 1, 20, 4);
+        boolean marked = limits.flag("redials_marked", true);
+        boolean peers = limits.flag("peers", true);
+        int routers = limits.whole("routers", 1, 65_535);
+        int mostOpen = limits.whole("max_open", 1, 1_000_000, 20_000);
+        Toml.Table rules = toml.table("rules");
+        long release = rules.millis("release_ms", 0, 60_000);
+        if (release >= shortest) {
+            throw rules.bad("release_ms", "is longer than the shortest limit_ms: no second INVITE could be sent");
+        }
+        Settings module = new Settings(routers, number, false, services, invites, marked, comeBack > 0, comeBack, peers,
+                true, release, rules.number("fall_multiple", 1, 100), rules.millis("fall_ms", 1, 60_000),
+                rules.number("cold_from", 0.01, 1), rules.seconds("warm_s", 0.01, 600));
+        EdgeSettings settings = new EdgeSettings(number, Hops.read(edge, "listen"), Hops.read(edge, "exchange"),
+                Hops.read(edge, "directory"), module, margin, mostOpen, seed,
+                Long.toString(System.nanoTime() & 0xffffffffL, 36));
+        if (settings.self().port() == settings.exchange().port() && settings.self().host().equals(
+                settings.exchange().host())) {
+            throw edge.bad("exchange", "is the router's own address");
+        }
+        toml.nothingElse();
+        return new EdgeFile(settings, policy);
+    }
+}
--- a/src/main/java/coralcove/edge/Outcomes.java
+++ b/src/main/java/coralcove/edge/Outcomes.java
@@ -29,12 +29,12 @@
     private Outcomes() {}
 
     /** What an INVITE that did not stand came to; {@code response} is null where none came. */
-    public static Outcome of(SipMessage response, Lost lost, boolean heard) {
+    public static Outcome of(SipMessage response, Lost lost) {
         if (response == null) {
             return switch (lost) {
-                // The first hop is the own exchange: unheard of, the INVITE never left.
-                case UNREACHABLE -> heard ? plain(Ending.RESET, Cause.NONE)
-                        : plain(Ending.NOT_SENT, Cause.PROCESSOR_FULL);
+                // The first hop is the own exchange: where it takes no stream, the INVITE never left.
+                case UNREACHABLE -> plain(Ending.NOT_SENT, Cause.PROCESSOR_FULL);
+                case RESET -> plain(Ending.RESET, Cause.NONE);
                 case TIMED_OUT, NO -> plain(Ending.TIMED_OUT, Cause.NONE);
             };
         }
--- a/src/main/java/coralcove/exchange/ExchangeSettings.java
+++ b/src/main/java/coralcove/exchange/ExchangeSettings.java
@@ -12,6 +12,12 @@
         Callers callers, Rules rules, long since, Map<Integer, Integer> groups, int hotLines, long seed,
         String start) {
 
+    /** The same exchange, started cold at {@code now}. */
+    public ExchangeSettings startedAt(long now) {
+        return new ExchangeSettings(number, id, self, edge, directory, work, services, callers, rules, now, groups,
+                hotLines, seed, start);
+    }
+
     /** What each step costs the processor, and past which wait it turns set-ups away. */
     public record Work(long look, long setUp, long answer, long release, long refuse, long repeat, long probe,
             long queueLimit, boolean tellsWait, long resend) {}
--- a/src/main/java/coralcove/judge/Judge.java
+++ b/src/main/java/coralcove/judge/Judge.java
@@ -12,8 +12,10 @@
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 
 /**
  * Judges the five rules from captured traffic alone: each message that a call router read or wrote, with its time.
@@ -82,6 +84,7 @@
     private final Map<String, Seen> byCall = new HashMap<>();
     private final Map<String, Seen> bySession = new LinkedHashMap<>();
     private final Map<String, Sent> sentByCall = new HashMap<>();
+    private final Map<String, Set<Sent>> open = new HashMap<>();
     private final Map<String, Map<Long, Told>> lists = new HashMap<>();
     private final Map<String, Boolean> setUps = new HashMap<>();
     private final Map<Integer, ArrayDeque<Arrived>> cold = new HashMap<>();
@@ -132,7 +135,7 @@
                 if (message.isRequest()) {
                     if (message.toTag().isEmpty()) {
                         if (out) {
-                            sent(now, node, message);
+                            sent(now, node, peer, message);
                         } else {
                             read(now, node, message);
                         }
@@ -155,6 +158,18 @@
         }
     }
 
+    /** INVITEs that a broken stream carried are over; one whose stream was refused was never written. */
+    @Override
+    public void broken(long now, String node, Hop peer, boolean refused) {
+        for (Sent sent : open.getOrDefault(node + peer, Set.of())) {
+            if (sent.endedAt == Long.MAX_VALUE) {
+                sent.endedAt = now;
+                sent.waits = !refused;
+            }
+        }
+        open.remove(node + peer);
+    }
+
     private static String key(String node, SipMessage message) {
         return node + "|" + message.callId();
     }
@@ -199,7 +214,7 @@
         }
     }
 
-    private void sent(long now, String node, SipMessage invite) {
+    private void sent(long now, String node, Hop peer, SipMessage invite) {
         Seen seen = bySession.get(node + "|" + invite.header("Session-ID", ""));
         if (seen == null) {
             return;
@@ -214,6 +229,9 @@
         long left = Long.parseLong(invite.header("X-Time-Left", "0").strip());
         Sent sent = new Sent(now, left);
         sentByCall.put(key(node, invite), sent);
+        if (peer.tcp()) {
+            open.computeIfAbsent(node + peer, p -> new LinkedHashSet<>()).add(sent);
+        }
         if (seen.finals > 0 || seen.cancelled) {
             verdicts.get("final_answer").check(false, now, node, seen.sessionId, "an INVITE after the final answer");
         }
--- a/src/main/java/coralcove/network/LiveNetwork.java
+++ b/src/main/java/coralcove/network/LiveNetwork.java
@@ -102,8 +102,11 @@
         }
 
         @Override
-        public void broken(Hop peer) {
-            hand((now, out) -> core.broken(now, peer, out));
+        public void broken(Hop peer, boolean refused) {
+            if (tapped && tap != null && alive) {
+                tap.broken(now(), name, peer, refused);
+            }
+            hand((now, out) -> core.broken(now, peer, refused, out));
         }
 
         @Override
--- a/src/main/java/coralcove/network/Network.java
+++ b/src/main/java/coralcove/network/Network.java
@@ -14,6 +14,9 @@
     /** Hears of every message that a tapped node sends or reads, with its time. */
     interface Tap {
         void message(long now, String node, boolean out, Hop peer, byte[] bytes);
+
+        /** A stream of a tapped node broke, or ({@code refused}) could not be opened. */
+        void broken(long now, String node, Hop peer, boolean refused);
     }
 
     /** Starts a core as the node {@code name}, reached over UDP and TCP at {@code self}'s address. */
--- a/src/main/java/coralcove/network/VirtualNetwork.java
+++ b/src/main/java/coralcove/network/VirtualNetwork.java
@@ -188,14 +188,18 @@
     }
 
     private void stream(Node from, Hop to, byte[] bytes, long delay) {
-        boolean broken = byPort.get(to.port()) == null || chance.nextDouble() < weather.reset;
+        boolean refused = byPort.get(to.port()) == null;
+        boolean broken = refused || chance.nextDouble() < weather.reset;
         long pair = (long) from.self.port() << 32 | to.port();
         long at = Math.max(now + delay, lastInStream.getOrDefault(pair, 0L));
         lastInStream.put(pair, at);
         if (broken) {
             at(now + 2 * delay, () -> {
                 if (from.alive) {
-                    from.core.broken(now, to, from);
+                    if (from.tapped && tap != null) {
+                        tap.broken(now, from.name, to, refused);
+                    }
+                    from.core.broken(now, to, refused, from);
                     arm(from);
                 }
             });
--- a/src/main/java/coralcove/rehearsal/CaptureLine.java
+++ b/src/main/java/coralcove/rehearsal/CaptureLine.java
@@ -27,6 +27,12 @@
                 .put(plain ? "text" : "base64", plain ? text : Base64.getEncoder().encodeToString(bytes)));
     }
 
+    static String broken(long now, String node, Hop peer, boolean refused) throws JsonProcessingException {
+        return JSON.writeValueAsString(JSON.createObjectNode().put("t", now).put("node", node)
+                .put("dir", refused ? "refused" : "broken").put("proto", "tcp")
+                .put("peer", peer.host() + ":" + peer.port()));
+    }
+
     /** Plays a capture file to {@code tap}; returns the time of its last line. */
     public static long read(Path path, Network.Tap tap) throws IOException {
         long last = 0;
@@ -38,12 +44,17 @@
                     JsonNode node = JSON.readTree(line);
                     String peer = node.get("peer").asText();
                     int colon = peer.lastIndexOf(':');
+                    String dir = node.get("dir").asText();
+                    Hop hop = new Hop(node.get("proto").asText().equals("tcp"), peer.substring(0, colon),
+                            Integer.parseInt(peer.substring(colon + 1)));
+                    last = node.get("t").asLong();
+                    if (dir.equals("broken") || dir.equals("refused")) {
+                        tap.broken(last, node.get("node").asText(), hop, dir.equals("refused"));
+                        continue;
+                    }
                     byte[] bytes = node.has("text") ? node.get("text").asText().getBytes(StandardCharsets.UTF_8)
                             : Base64.getDecoder().decode(node.get("base64").asText());
-                    last = node.get("t").asLong();
-                    tap.message(last, node.get("node").asText(), node.get("dir").asText().equals("out"),
-                            new Hop(node.get("proto").asText().equals("tcp"), peer.substring(0, colon),
-                                    Integer.parseInt(peer.substring(colon + 1))), bytes);
+                    tap.message(last, node.get("node").asText(), dir.equals("out"), hop, bytes);
                 } catch (JsonProcessingException | RuntimeException e) {
                     throw new IOException(path + ":" + number + ": no captured message");
                 }
--- a/src/main/java/coralcove/rehearsal/Meter.java
+++ b/src/main/java/coralcove/rehearsal/Meter.java
@@ -24,6 +24,11 @@
     private final Map<String, Way> ways = new HashMap<>();
     final Histogram added = new Histogram(60_000_000, 3);
 
+    @Override
+    public void broken(long now, String node, Hop peer, boolean refused) {
+        // A session that this ended did not stand, and does not count.
+    }
+
     @Override
     public void message(long now, String node, boolean out, Hop peer, byte[] bytes) {
         SipMessage message;
--- a/src/main/java/coralcove/rehearsal/Rehearsal.java
+++ b/src/main/java/coralcove/rehearsal/Rehearsal.java
@@ -15,7 +15,6 @@
 import coralcove.network.Network;
 import coralcove.sip.Hop;
 import coralcove.sip.Out;
-import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -28,6 +27,8 @@
     private static final long LEAD = 2_000_000;
     /** µs after the last caller: the longest limit has passed and all is answered. */
     private static final long TAIL = 12_000_000;
+    /** µs that a dying exchange has for the BYEs of the calls it cuts. */
+    private static final long LAST_ACT = 100_000;
     /** Steps in which an ageing exchange grows slower. */
     private static final int AGE_STEPS = 20;
 
@@ -40,7 +41,6 @@
     private final Stats[] stats;
     private final Map<String, ExchangeCore> exchanges = new HashMap<>();
     private final long[] ids;
-    private final List<String> notes = new ArrayList<>();
     private int starts;
     private long zero;
 
@@ -140,8 +140,7 @@
                 directory(), own, services, day.callers(), new ExchangeSettings.Rules(rules.fallMultiple(),
                 rules.fallWindow(), rules.coldFrom(), rules.warmUp()), since, groups, day.hotLines(),
                 seed * 7919 + starts, start());
-        List<Arrival> arrivals = day.arrivals().get(number).stream().map(a -> new Arrival(zero + a.at(),
-                a.service(), a.farEnd(), a.number(), a.hold())).toList();
+        List<Arrival> arrivals = day.arrivals().get(number).stream().map(a -> a.after(zero)).toList();
         ExchangeCore core = new ExchangeCore(settings, arrivals, stats[number]);
         exchanges.put("exchange-" + number, core);
         if (since > 0) {
@@ -230,8 +229,9 @@
 
     private void dies(int number, long at, long back) {
         act(at, number, (now, core, out) -> core.cutAll(now, out));
-        network.at(zero + at + 1000, () -> network.kill("exchange-" + number));
-        network.at(zero + at + 2000 + back, () -> addExchange(number, network.now()));
+        // Its last act, the BYEs of what it cuts, is on the sockets before it is gone.
+        network.at(zero + at + LAST_ACT, () -> network.kill("exchange-" + number));
+        network.at(zero + at + 2 * LAST_ACT + back, () -> addExchange(number, network.now()));
     }
 
     /** Groups between the struck exchanges and all others keep a share of their circuits, at both ends alike. */
@@ -246,8 +246,4 @@
             act(at, other, (now, core, out) -> core.group(now, number, size, 1 - keep, out));
         }
     }
-
-    public List<String> notes() {
-        return notes;
-    }
 }
--- a/src/main/java/coralcove/rehearsal/Rehearse.java
+++ b/src/main/java/coralcove/rehearsal/Rehearse.java
@@ -29,7 +29,32 @@
     private static final int LAST_PORT = 32_000;
 
     /** One captured message, as the live taps note it. */
-    private record Seen(long at, long order, String node, boolean out, Hop peer, byte[] bytes) {}
+    private record Seen(long at, long order, String node, boolean out, Hop peer, byte[] bytes, boolean refused) {
+        void tell(Network.Tap tap) {
+            if (bytes == null) {
+                tap.broken(at, node, peer, refused);
+            } else {
+                tap.message(at, node, out, peer, bytes);
+            }
+        }
+    }
+
+    /** All that listen to one capture. */
+    private record Taps(Network.Tap... taps) implements Network.Tap {
+        @Override
+        public void message(long now, String node, boolean out, Hop peer, byte[] bytes) {
+            for (Network.Tap tap : taps) {
+                tap.message(now, node, out, peer, bytes);
+            }
+        }
+
+        @Override
+        public void broken(long now, String node, Hop peer, boolean refused) {
+            for (Network.Tap tap : taps) {
+                tap.broken(now, node, peer, refused);
+            }
+        }
+    }
 
     private Rehearse() {}
 
@@ -45,11 +70,7 @@
                 zones.put("exchange-" + i, day.zones()[i]);
             }
             Network network = new VirtualNetwork(VIRTUAL_START, seed, day.weather(), zones,
-                    (now, node, out, peer, bytes) -> {
-                        judge.message(now, node, out, peer, bytes);
-                        meter.message(now, node, out, peer, bytes);
-                        file.message(now, node, out, peer, bytes);
-                    }, log);
+                    new Taps(judge, meter, file), log);
             Stats stats = new Rehearsal(day, seed, policy, network, FIRST_PORT, judge).play();
             return result(day, seed, policy, true, stats, meter, judge);
         }
@@ -77,9 +98,19 @@
                 marks.add(() -> judge.started(number, since));
             }
         };
-        Network.Tap tap = (now, node, out, peer, bytes) -> {
-            synchronized (seen) {
-                seen.add(new Seen(now, seen.size(), node, out, peer, bytes));
+        Network.Tap tap = new Network.Tap() {
+            @Override
+            public void message(long now, String node, boolean out, Hop peer, byte[] bytes) {
+                synchronized (seen) {
+                    seen.add(new Seen(now, seen.size(), node, out, peer, bytes, false));
+                }
+            }
+
+            @Override
+            public void broken(long now, String node, Hop peer, boolean refused) {
+                synchronized (seen) {
+                    seen.add(new Seen(now, seen.size(), node, false, peer, null, refused));
+                }
             }
         };
         Stats stats;
@@ -92,14 +123,13 @@
         try (Capture file = Capture.to(capture)) {
             synchronized (seen) {
                 seen.sort(Comparator.comparingLong(Seen::at).thenComparingLong(Seen::order));
+                Network.Tap taps = new Taps(judge, meter, file);
                 int mark = 0;
                 for (Seen each : seen) {
                     while (mark < marks.size() && markTimes.get(mark) <= each.at) {
                         marks.get(mark++).run();
                     }
-                    judge.message(each.at, each.node, each.out, each.peer, each.bytes);
-                    meter.message(each.at, each.node, each.out, each.peer, each.bytes);
-                    file.message(each.at, each.node, each.out, each.peer, each.bytes);
+                    each.tell(taps);
                 }
             }
         }
@@ -157,6 +187,19 @@
             }
         }
 
+        @Override
+        public void broken(long now, String node, Hop peer, boolean refused) {
+            if (out == null) {
+                return;
+            }
+            try {
+                out.write(CaptureLine.broken(now, node, peer, refused));
+                out.newLine();
+            } catch (IOException e) {
+                throw new UncheckedIOException(e);
+            }
+        }
+
         @Override
         public void close() throws IOException {
             if (out != null) {
--- a/src/main/java/coralcove/sip/Core.java
+++ b/src/main/java/coralcove/sip/Core.java
@@ -12,8 +12,11 @@
     /** Something that was read from {@code from} and is no message. */
     void malformed(long now, Hop from, BadMessage problem, Out out);
 
-    /** A stream to {@code peer} has broken or could not be opened. */
-    void broken(long now, Hop peer, Out out);
+    /**
+     * A stream to {@code peer} has broken, or ({@code refused}) could not be opened, so that nothing that waited
+     * for it was ever written.
+     */
+    void broken(long now, Hop peer, boolean refused, Out out);
 
     void tick(long now, Out out);
 
--- a/src/main/java/coralcove/sip/dialog/Agent.java
+++ b/src/main/java/coralcove/sip/dialog/Agent.java
@@ -23,7 +23,7 @@
  */
 public final class Agent implements Transactions.User {
     /** How a call that was not answered ended without a final response. */
-    public enum Lost { NO, TIMED_OUT, UNREACHABLE }
+    public enum Lost { NO, TIMED_OUT, UNREACHABLE, RESET }
 
     /** The program above. */
     public interface User {
@@ -108,8 +108,8 @@
         }
     }
 
-    public void broken(long now, Hop peer, Out out) {
-        transactions.broken(now, peer, out);
+    public void broken(long now, Hop peer, boolean refused, Out out) {
+        transactions.broken(now, peer, refused, out);
     }
 
     // ---- calls out
@@ -391,10 +391,14 @@
     }
 
     @Override
-    public void failed(long now, ClientTx tx, boolean reached, Out out) {
+    public void failed(long now, ClientTx tx, Transactions.Failure failure, Out out) {
         if (tx.owner() instanceof Call call && tx.request().method().equals("INVITE")) {
             if (call.state == Call.State.TRYING) {
-                lost(now, call, reached ? Lost.TIMED_OUT : Lost.UNREACHABLE, out);
+                lost(now, call, switch (failure) {
+                    case TIME_OUT -> Lost.TIMED_OUT;
+                    case REFUSED -> Lost.UNREACHABLE;
+                    case BROKEN -> Lost.RESET;
+                }, out);
             }
         } else if (!tx.request().method().equals("BYE")) {
             user.replied(now, tx, null, out);
--- a/src/main/java/coralcove/sip/transaction/Transactions.java
+++ b/src/main/java/coralcove/sip/transaction/Transactions.java
@@ -25,6 +25,9 @@
     /** Transactions held; past this a new request is dropped and counted: its sender will send it again. */
     private static final int MOST = 400_000;
 
+    /** Why no answer came: none in time, no stream to carry the request, or a stream that broke under it. */
+    public enum Failure { TIME_OUT, REFUSED, BROKEN }
+
     /** The layer above. */
     public interface User {
         void request(long now, ServerTx tx, Hop from, Out out);
@@ -40,8 +43,7 @@
 
         void response(long now, ClientTx tx, SipMessage response, Out out);
 
-        /** No answer in time, or ({@code reached} false) the transport could not carry the request. */
-        void failed(long now, ClientTx tx, boolean reached, Out out);
+        void failed(long now, ClientTx tx, Failure failure, Out out);
     }
 
     private final Hop self;
@@ -82,7 +84,7 @@
         if (!to.tcp()) {
             tx.resend = timers.set(now + tx.gap, (at, o) -> again(at, tx, o));
         }
-        tx.end = timers.set(now + PATIENCE * T1, (at, o) -> over(at, tx, true, o));
+        tx.end = timers.set(now + PATIENCE * T1, (at, o) -> over(at, tx, Failure.TIME_OUT, o));
         out.send(to, request);
         return tx;
     }
@@ -108,7 +110,7 @@
         if (!tx.to.tcp()) {
             tx.resend = timers.set(now + tx.gap, (at, o) -> again(at, tx, o));
         }
-        tx.end = timers.set(now + PATIENCE * T1, (at, o) -> over(at, tx, true, o));
+        tx.end = timers.set(now + PATIENCE * T1, (at, o) -> over(at, tx, Failure.TIME_OUT, o));
         out.send(tx.to, cancel);
     }
 
@@ -127,11 +129,11 @@
         tx.resend(out);
     }
 
-    private void over(long now, ClientTx tx, boolean reached, Out out) {
+    private void over(long now, ClientTx tx, Failure failure, Out out) {
         boolean unanswered = tx.state == ClientTx.State.CALLING || tx.state == ClientTx.State.PROCEEDING;
         end(tx);
         if (unanswered && !tx.request.method().equals("CANCEL")) {
-            user.failed(now, tx, reached, out);
+            user.failed(now, tx, failure, out);
         }
     }
 
@@ -358,10 +360,10 @@
     }
 
     /** The transport could not carry requests to this hop: those not answered yet have failed (18.4). */
-    public void broken(long now, Hop peer, Out out) {
+    public void broken(long now, Hop peer, boolean refused, Out out) {
         for (ClientTx tx : clients.values().stream().filter(t -> t.to.equals(peer)).sorted(
                 java.util.Comparator.comparing(t -> t.key)).toList()) {
-            over(now, tx, false, out);
+            over(now, tx, refused ? Failure.REFUSED : Failure.BROKEN, out);
         }
     }
 
--- a/src/main/java/coralcove/sip/transport/Sockets.java
+++ b/src/main/java/coralcove/sip/transport/Sockets.java
@@ -36,7 +36,7 @@
     public interface Listener {
         void read(Hop from, byte[] bytes);
 
-        void broken(Hop peer);
+        void broken(Hop peer, boolean refused);
 
         void cutOff(Hop peer, String reason);
     }
@@ -128,7 +128,7 @@
                 }
             }
             if (!done.isConnected() && !closed) {
-                listener.broken(to);
+                listener.broken(to, true);
             }
         });
     }
@@ -214,7 +214,7 @@
             streams.remove(hop, session);
             streams.remove(remote(session, true), session);
             if (!closed) {
-                listener.broken(hop);
+                listener.broken(hop, false);
             }
         }
 
