--- a/src/main/java/coralcove/edge/EdgeCore.java
+++ b/src/main/java/coralcove/edge/EdgeCore.java
@@ -93,6 +93,8 @@
     private Timers.Timer wake;
     private long wakeAt;
     private boolean stopping;
+    /** Whether the whole list has been asked for after a gap and has not come yet. */
+    private boolean fetching;
 
     public EdgeCore(EdgeSettings settings, CallRouter router) {
         this.settings = settings;
@@ -241,7 +243,6 @@
         Leg leg = new Leg(held, settings.number(), 0, now);
         held.leg = leg;
         SipMessage invite = outgoing(held, limit - now);
-        invite.add("X-Deliver", "yes");
         leg.call = agent.invite(now, invite, settings.exchange(), leg, out);
         leg.limit = timers.set(limit, (at, o) -> {
             agent.cancel(at, leg.call, o);
@@ -275,9 +276,13 @@
 
     private void send(long now, Held held, Answer answer, Out out) {
         Place place = roster.get(answer.exchange());
-        int number = place.exchange.number();
+        int number = place == null ? -1 : place.exchange.number();
         Leg leg = new Leg(held, number, answer.exchange(), now);
         held.leg = leg;
+        if (place == null) {
+            settle(now, leg, Ending.NOT_SENT, Cause.NONE, 0, out);
+            return;
+        }
         if (trunks.free(now, number) < held.headers.width()) {
             settle(now, leg, Ending.NOT_SENT, Cause.NO_CIRCUIT, 0, out);
             return;
@@ -384,13 +389,15 @@
         Leg leg = (Leg) call.owner();
         Held held = leg.held;
         timers.cancel(leg.limit);
+        release(now, leg);
         if (response != null && response.header("X-Circuits") != null) {
+            // After the release: the far end does not count the INVITE that it refused.
             trunks.told(now, leg.number, (int) Params.of("x;n=" + response.header("X-Circuits")).number("n", 0));
             if (trunks.doubtEnds(now, leg.number) < Long.MAX_VALUE) {
                 timers.set(trunks.doubtEnds(now, leg.number), (at, o) -> circuits(at, leg.number));
             }
+            circuits(now, leg.number);
         }
-        release(now, leg);
         if (held.leg != leg || call.cancelled()) {
             return;
         }
@@ -554,6 +561,7 @@
     }
 
     private void subscribed(long now, String event, boolean good, Out out) {
+        fetching &= good || !event.equals("exchanges");
         if (event.equals("exchanges") && !good) {
             out.log("directory-lost", "", "");
             router.rosterLost(now);
@@ -597,11 +605,15 @@
         }
         if (!full && after > listVersion) {
             // A change was lost on the way: the whole list replaces what is held.
-            subscribe(now, "exchanges", settings.directory(), out);
+            if (!fetching) {
+                fetching = true;
+                subscribe(now, "exchanges", settings.directory(), out);
+            }
             return true;
         }
         listVersion = version;
         if (full) {
+            fetching = false;
             roster.clear();
         }
         places.forEach(place -> roster.put(place.exchange.id(), place));
--- a/src/main/java/coralcove/network/VirtualNetwork.java
+++ b/src/main/java/coralcove/network/VirtualNetwork.java
@@ -151,8 +151,10 @@
     private void arm(Node node) {
         long due = node.core.due();
         if (node.alive && due < node.wake) {
-            node.wake = Math.max(now, due);
-            at(node.wake, () -> wake(node, node.wake));
+            long wanted = Math.max(now, due);
+            node.wake = wanted;
+            // The moment is kept as it is now: one read when it comes would let stale wakes multiply.
+            at(wanted, () -> wake(node, wanted));
         }
     }
 
--- a/src/main/java/coralcove/rehearsal/BenchDay.java
+++ b/src/main/java/coralcove/rehearsal/BenchDay.java
@@ -91,7 +91,8 @@
             speeds[i] = root.path("servers").path(i).path("speed").asDouble(1);
             for (int j = 0; j < n; j++) {
                 pull[i][j] = fam.path("pull").path(i).path(j).asDouble();
-                groups[i][j] = fam.path("size").path(i * n + j).asInt();
+                // A group is listed once, at the end with the lower number.
+                groups[i][j] = fam.path("size").path(Math.min(i, j) * n + Math.max(i, j)).asInt();
             }
         }
         long length = root.path("length").asLong();
--- a/src/main/java/coralcove/sip/dialog/Agent.java
+++ b/src/main/java/coralcove/sip/dialog/Agent.java
@@ -141,7 +141,7 @@
 
     /** Sends a request once, without a transaction: whether it arrives is nobody's concern. */
     public void sendOnce(SipMessage request, Hop to, Out out) {
-        request.addFirst("Via", Via.text(self.over(to.tcp()), Via.COOKIE + seed + ".o" + numbers++));
+        request.addFirst("Via", Via.text(self.over(to.tcp()), Via.COOKIE + seed + Transactions.ONCE + numbers++));
         out.send(to, request);
     }
 
--- a/src/main/java/coralcove/sip/transaction/Transactions.java
+++ b/src/main/java/coralcove/sip/transaction/Transactions.java
@@ -28,6 +28,9 @@
     /** Why no answer came: none in time, no stream to carry the request, or a stream that broke under it. */
     public enum Failure { TIME_OUT, REFUSED, BROKEN }
 
+    /** Marks the branch of a request that is sent once, outside any transaction: its answer is not waited for. */
+    public static final String ONCE = ".o";
+
     /** The layer above. */
     public interface User {
         void request(long now, ServerTx tx, Hop from, Out out);
@@ -147,6 +150,9 @@
     private void response(long now, SipMessage response, Out out) {
         Via via = Via.of(response.header("Via"));
         ClientTx tx = via == null ? null : clients.get(key(via.branch(), response.cseqMethod()));
+        if (via != null && via.branch().startsWith(Via.COOKIE + seed + ONCE)) {
+            return;
+        }
         if (tx == null || tx.state == ClientTx.State.ENDED) {
             out.log("stray-response", response.header("Session-ID", ""), response.toString());
             return;
