--- a/src/main/java/coralcove/cli/Commands.java
+++ b/src/main/java/coralcove/cli/Commands.java
@@ -42,7 +42,7 @@
 @Command(name = "coralcove", mixinStandardHelpOptions = true, version = "coralcove 0.2.0",
         description = "A call router for a private voice network, its stand-ins and rehearsals.",
         subcommands = {Commands.Edge.class, Commands.Exchange.class, Commands.Directory.class,
-            Commands.RehearseCommand.class, Commands.JudgeCommand.class, Commands.Check.class, Commands.DrillHelp.class},
+            Commands.RehearseCommand.class, Commands.Compare.class, Commands.JudgeCommand.class, Commands.Check.class, Commands.DrillHelp.class},
         footer = {"", "Exit: 0 good, 1 bad input, 2 usage, 3 a rule broken.", "", "Examples:",
             "  coralcove rehearse days/bad-day.toml --virtual",
             "  coralcove check deploy/examples/edge-0.toml",
@@ -255,6 +255,68 @@
         }
     }
 
+    @Command(name = "compare", mixinStandardHelpOptions = true,
+            description = "Plays a day in virtual time under several policies on the same seeds, and tabulates them.",
+            footer = {"", "Example:", "  coralcove compare days/bad-day.toml --seeds 50"})
+    static final class Compare implements Callable<Integer> {
+        @Parameters(paramLabel = "DAY", description = "the day, TOML; several may be given, or days as the bench "
+                + "draws them (.json)", arity = "1..*")
+        private List<Path> days;
+        @Option(names = "--seeds", paramLabel = "N", defaultValue = "10", description = "seeds 1 to N (default 10)")
+        private int seeds;
+        @Option(names = "--policies", split = ",", paramLabel = "NAME", defaultValue = "choice,direct,first-tandem",
+                description = "which (default all: choice,direct,first-tandem)")
+        private List<String> policies;
+        @Option(names = "--jobs", paramLabel = "N", defaultValue = "4", description = "runs at once (default 4)")
+        private int jobs;
+
+        @Override
+        public Integer call() throws Exception {
+            System.setProperty("coralcove.log", "WARN");
+            boolean kept = true;
+            for (Path day : days) {
+                for (String policy : policies) {
+                    kept &= table(day, policy) || !policy.equals("choice");
+                }
+            }
+            return kept ? 0 : RULE_BROKEN;
+        }
+
+        private boolean table(Path path, String policy) throws Exception {
+            java.util.concurrent.ExecutorService pool = java.util.concurrent.Executors.newFixedThreadPool(jobs);
+            try {
+                List<java.util.concurrent.Future<Result>> runs = new java.util.ArrayList<>();
+                for (int i = 1; i <= seeds; i++) {
+                    long seed = i;
+                    runs.add(pool.submit(() -> Rehearse.virtual(path.toString().endsWith(".json")
+                            ? BenchDay.read(path, seed) : DayFile.read(path, seed), seed, policy, null, null)));
+                }
+                double[] shares = new double[seeds];
+                java.util.TreeMap<String, long[]> rules = new java.util.TreeMap<>();
+                for (int i = 0; i < seeds; i++) {
+                    Result result = runs.get(i).get();
+                    shares[i] = result.share();
+                    result.rules().forEach((name, verdict) -> {
+                        long[] sum = rules.computeIfAbsent(name, n -> new long[2]);
+                        sum[0] += verdict.checked();
+                        sum[1] += verdict.broken();
+                    });
+                    result.rules().values().stream().flatMap(v -> v.breaches().stream()).limit(3)
+                            .forEach(line -> System.out.println("  seed " + result.seed() + " " + line));
+                }
+                java.util.Arrays.sort(shares);
+                System.out.printf(Locale.ROOT, "%s %s: value served mean %.3f, least %.3f, median %.3f, most %.3f;",
+                        path.getFileName(), policy, java.util.Arrays.stream(shares).average().orElse(0), shares[0],
+                        shares[seeds / 2], shares[seeds - 1]);
+                rules.forEach((name, sum) -> System.out.printf(Locale.ROOT, " %s %d/%d", name, sum[1], sum[0]));
+                System.out.println(" (broken/checked)");
+                return rules.values().stream().allMatch(sum -> sum[1] == 0);
+            } finally {
+                pool.shutdownNow();
+            }
+        }
+    }
+
     private static void print(Verdict verdict) {
         System.out.printf(Locale.ROOT, "rule %-13s %s: checked %d, broken %d%n", verdict.rule,
                 verdict.broken() == 0 ? "kept" : "BROKEN", verdict.checked(), verdict.broken());
--- a/src/main/java/coralcove/edge/EdgeCore.java
+++ b/src/main/java/coralcove/edge/EdgeCore.java
@@ -77,7 +77,11 @@
     }
 
     /** One line of the roster with the address of its router. */
-    private record Place(Exchange exchange, Hop edge) {}
+    private record Place(Exchange exchange, Hop edge, long version) {
+        Place at(long news) {
+            return new Place(exchange, edge, news);
+        }
+    }
 
     private final EdgeSettings settings;
     private final CallRouter router;
@@ -600,24 +604,31 @@
             return false;
         }
         boolean full = first[2].equals("full");
-        if (version <= listVersion && !(full && version == listVersion)) {
-            return true;
-        }
-        if (!full && after > listVersion) {
-            // A change was lost on the way: the whole list replaces what is held.
-            if (!fetching) {
-                fetching = true;
-                subscribe(now, "exchanges", settings.directory(), out);
+        // Each line counts by its own version: news of a drain is taken as it is read, also across a gap, and an
+        // older message that comes later takes nothing back.
+        boolean news = full;
+        for (Place place : places) {
+            Place known = roster.get(place.exchange.id());
+            if (version > (known == null ? listVersion : known.version)) {
+                roster.put(place.exchange.id(), place.at(version));
+                news = true;
             }
-            return true;
         }
-        listVersion = version;
         if (full) {
             fetching = false;
-            roster.clear();
+            roster.values().removeIf(known -> known.version < version);
+        } else if (after > listVersion && !fetching) {
+            fetching = true;
+            subscribe(now, "exchanges", settings.directory(), out);
+        }
+        if (full || after <= listVersion) {
+            listVersion = Math.max(listVersion, version);
+        }
+        if (!news) {
+            return true;
         }
-        places.forEach(place -> roster.put(place.exchange.id(), place));
-        router.roster(now, full, places.stream().map(Place::exchange).toList());
+        router.roster(now, full, (full ? roster.values() : places).stream().map(p -> roster.get(p.exchange.id()).exchange)
+                .toList());
         toldCircuits.clear();
         trunks.numbers().forEach(number -> circuits(now, number));
         out.log("roster", "", "version " + version + (full ? " full" : "") + " " + places.size() + " lines");
@@ -631,7 +642,7 @@
         Hop hop = new Hop(parts[4].startsWith("tcp:"), parts[4].substring(4, colon),
                 Integer.parseInt(parts[4].substring(colon + 1)));
         return new Place(new Exchange(Long.parseLong(parts[0]), Integer.parseInt(parts[1]),
-                Phase.valueOf(parts[2].toUpperCase(java.util.Locale.ROOT)), Long.parseLong(parts[3])), hop);
+                Phase.valueOf(parts[2].toUpperCase(java.util.Locale.ROOT)), Long.parseLong(parts[3])), hop, 0);
     }
 
     private boolean groups(long now, List<String> lines) {
--- a/src/main/java/coralcove/judge/Judge.java
+++ b/src/main/java/coralcove/judge/Judge.java
@@ -72,6 +72,7 @@
     /** What one router has been told of one exchange. */
     private static final class Told {
         int number;
+        long version = -1;
         boolean ready;
         long notReadyAt;
         long since;
@@ -304,14 +305,22 @@
         }
         Map<Long, Told> list = lists.computeIfAbsent(node, n -> new HashMap<>());
         List<String> lines = notify.text().lines().toList();
-        Map<Long, Boolean> named = new HashMap<>();
+        String[] first = lines.isEmpty() ? new String[0] : lines.get(0).split(" ");
+        if (first.length < 3 || !first[1].matches("\\d{1,18}")) {
+            return;
+        }
+        long version = Long.parseLong(first[1]);
         for (String line : lines) {
             String[] parts = line.split(" ");
             if (parts.length != 5 || !parts[0].matches("\\d+")) {
                 continue;
             }
             Told told = list.computeIfAbsent(Long.parseLong(parts[0]), id -> new Told());
-            named.put(Long.parseLong(parts[0]), true);
+            if (told.version >= version) {
+                // Older than what the router knew of this exchange already: no news of it.
+                continue;
+            }
+            told.version = version;
             told.number = Integer.parseInt(parts[1]);
             boolean ready = parts[2].equals("ready");
             if (told.ready && !ready || told.notReadyAt == 0 && !ready) {
@@ -324,9 +333,11 @@
                 told.sinceAt = now;
             }
         }
-        if (!lines.isEmpty() && lines.get(0).endsWith("full")) {
+        if (first[2].equals("full")) {
             list.forEach((id, told) -> {
-                if (told.ready && !named.containsKey(id)) {
+                boolean unnamed = told.version < version;
+                told.version = Math.max(told.version, version);
+                if (told.ready && unnamed) {
                     told.ready = false;
                     told.notReadyAt = now;
                 }
--- /dev/null
+++ b/src/test/java/coralcove/network/LiveNetworkTest.java
@@ -0,0 +1,191 @@
+package coralcove.network;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+import coralcove.sip.BadMessage;
+import coralcove.sip.Core;
+import coralcove.sip.Hop;
+import coralcove.sip.Out;
+import coralcove.sip.SipMessage;
+import coralcove.sip.Timers;
+import coralcove.sip.dialog.Agent;
+import coralcove.sip.dialog.Call;
+import coralcove.sip.transaction.ClientTx;
+import coralcove.sip.transaction.ServerTx;
+import java.io.IOException;
+import java.io.OutputStream;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+/** Calls over real loopback sockets; what is awaited is counted, and no verdict rests on speed. */
+class LiveNetworkTest {
+    private final LiveNetwork network = new LiveNetwork(null);
+
+    /** A phone that calls {@code to} at its start, or answers what calls it and hangs up once it is acknowledged. */
+    private static final class Phone implements Core, Agent.User {
+        final BlockingQueue<String> seen = new LinkedBlockingQueue<>();
+        final Timers timers = new Timers();
+        final Agent agent;
+        final Hop to;
+
+        Phone(Hop self, Hop to, String seed) {
+            agent = new Agent(self, timers, seed, this);
+            this.to = to;
+        }
+
+        @Override
+        public void start(long now, Out out) {
+            if (to != null) {
+                SipMessage invite = agent.request("INVITE", "sip:7@there");
+                invite.add("X-Long", "y".repeat(to.tcp() ? 3000 : 10));
+                agent.invite(now, invite, to, this, out);
+            }
+        }
+
+        @Override
+        public void receive(long now, Hop from, SipMessage message, Out out) {
+            agent.receive(now, from, message, out);
+        }
+
+        @Override
+        public void malformed(long now, Hop from, BadMessage problem, Out out) {
+            seen.add("malformed");
+            agent.malformed(now, from, problem, out);
+        }
+
+        @Override
+        public void broken(long now, Hop peer, boolean refused, Out out) {
+            seen.add(refused ? "refused" : "broken");
+            agent.broken(now, peer, refused, out);
+        }
+
+        @Override
+        public void tick(long now, Out out) {
+            timers.run(now, out);
+        }
+
+        @Override
+        public long due() {
+            return timers.due();
+        }
+
+        @Override
+        public void invited(long now, Call call, Hop from, Out out) {
+            seen.add("invited");
+            agent.progress(now, call, 180, "Ringing", out);
+            agent.answer(now, call, out);
+        }
+
+        @Override
+        public void progressed(long now, Call call, SipMessage response, Out out) {
+            seen.add("ringing");
+        }
+
+        @Override
+        public void answered(long now, Call call, SipMessage response, Out out) {
+            seen.add("answered");
+            agent.bye(now, call, null, out);
+        }
+
+        @Override
+        public void rejected(long now, Call call, SipMessage response, Agent.Lost lost, Out out) {
+            seen.add("rejected " + lost);
+        }
+
+        @Override
+        public void cancelled(long now, Call call, Out out) {
+            seen.add("cancelled");
+        }
+
+        @Override
+        public void hungUp(long now, Call call, SipMessage bye, Out out) {
+            seen.add("hung up");
+        }
+
+        @Override
+        public void request(long now, ServerTx tx, Hop from, Out out) {
+            agent.respond(now, tx, agent.reply(tx, 200, "OK"), out);
+        }
+
+        @Override
+        public void replied(long now, ClientTx tx, SipMessage response, Out out) {
+            seen.add("replied");
+        }
+
+        void sees(String... wanted) throws InterruptedException {
+            for (String each : wanted) {
+                assertThat(seen.poll(30, TimeUnit.SECONDS)).isEqualTo(each);
+            }
+        }
+    }
+
+    private static int freePort() throws IOException {
+        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            return socket.getLocalPort();
+        }
+    }
+
+    @AfterEach
+    void close() {
+        network.close();
+    }
+
+    private void call(boolean tcp) throws Exception {
+        Hop there = new Hop(tcp, "127.0.0.1", freePort());
+        Phone called = new Phone(there, null, "b");
+        network.add("called", there, called, false);
+        Hop here = new Hop(tcp, "127.0.0.1", freePort());
+        Phone caller = new Phone(here, there, "a");
+        network.add("caller", here, caller, false);
+        caller.sees("ringing", "answered");
+        called.sees("invited", "hung up");
+    }
+
+    @Test
+    void setsUpAndEndsACallOverUdp() throws Exception {
+        call(false);
+    }
+
+    @Test
+    void setsUpAndEndsACallOverTcp() throws Exception {
+        call(true);
+    }
+
+    @Test
+    void tellsARefusedStreamAtOnce() throws Exception {
+        Hop here = new Hop(true, "127.0.0.1", freePort());
+        Phone caller = new Phone(here, new Hop(true, "127.0.0.1", freePort()), "a");
+        network.add("caller", here, caller, false);
+        caller.sees("refused", "rejected UNREACHABLE");
+    }
+
+    @Test
+    void cutsOffAStreamThatIsNoSip() throws Exception {
+        Hop here = new Hop(true, "127.0.0.1", freePort());
+        Phone phone = new Phone(here, null, "a");
+        network.add("phone", here, phone, false);
+        try (Socket socket = new Socket("127.0.0.1", here.port())) {
+            OutputStream out = socket.getOutputStream();
+            out.write("GET / HTTP/1.1\r\nHost: x\r\n\r\n".getBytes(StandardCharsets.US_ASCII));
+            out.flush();
+            assertThat(socket.getInputStream().read()).isEqualTo(-1);
+        }
+    }
+
+    @Test
+    void namesThePortThatIsInUse() throws Exception {
+        try (ServerSocket taken = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            Hop here = new Hop(true, "127.0.0.1", taken.getLocalPort());
+            assertThatThrownBy(() -> network.add("phone", here, new Phone(here, null, "a"), false))
+                    .hasMessageContaining("127.0.0.1:" + taken.getLocalPort());
+        }
+    }
+}
