--- a/src/main/java/coralcove/cli/Commands.java
+++ b/src/main/java/coralcove/cli/Commands.java
@@ -85,10 +85,15 @@
         }
     }
 
-    private static void serve(String name, Hop self, Core core, AtomicBoolean stop, CountDownLatch ended)
-            throws IOException {
+    private static void serve(Toml toml, String table, String name, Hop self, Core core) throws BadConfig {
+        AtomicBoolean stop = new AtomicBoolean();
+        CountDownLatch ended = new CountDownLatch(1);
         LiveNetwork network = new LiveNetwork(null);
-        network.add(name, self, core, false);
+        try {
+            network.add(name, self, core, false);
+        } catch (UncheckedIOException e) {
+            throw toml.table(table).bad("listen", e.getCause().getMessage());
+        }
         Runtime.getRuntime().addShutdownHook(new Thread(() -> {
             stop.set(true);
             try {
@@ -132,11 +137,11 @@
         @Override
         public Integer call() throws Exception {
             logging.set();
-            EdgeFile file = EdgeFile.of(Toml.read(config));
+            Toml toml = Toml.read(config);
+            EdgeFile file = EdgeFile.of(toml);
             EdgeCore core = new EdgeCore(file.settings(), Rehearsal.router(file.policy(), file.settings().module(),
                     file.settings().seed()));
-            serve("edge-" + file.settings().number(), file.settings().self(), core, new AtomicBoolean(),
-                    new CountDownLatch(1));
+            serve(toml, "edge", "edge-" + file.settings().number(), file.settings().self(), core);
             return 0;
         }
     }
@@ -152,12 +157,13 @@
         @Override
         public Integer call() throws Exception {
             logging.set();
-            ExchangeFile file = ExchangeFile.of(Toml.read(config));
+            Toml toml = Toml.read(config);
+            ExchangeFile file = ExchangeFile.of(toml);
             long now = LiveNetwork.clock();
             ExchangeSettings settings = file.cold() ? file.settings().startedAt(now) : file.settings();
             List<Arrival> arrivals = file.arrivals().stream().map(a -> a.after(now)).toList();
-            serve("exchange-" + settings.number(), settings.self(), new ExchangeCore(settings, arrivals, new Stats()),
-                    new AtomicBoolean(), new CountDownLatch(1));
+            serve(toml, "exchange", "exchange-" + settings.number(), settings.self(),
+                    new ExchangeCore(settings, arrivals, new Stats()));
             return 0;
         }
     }
@@ -173,9 +179,10 @@
         @Override
         public Integer call() throws Exception {
             logging.set();
-            DirectoryFile file = DirectoryFile.of(Toml.read(config));
-            serve("directory", file.listen(), new DirectoryCore(file.listen(), file.late(),
-                    Long.toString(System.nanoTime() & 0xffffffffL, 36)), new AtomicBoolean(), new CountDownLatch(1));
+            Toml toml = Toml.read(config);
+            DirectoryFile file = DirectoryFile.of(toml);
+            serve(toml, "directory", "directory", file.listen(), new DirectoryCore(file.listen(), file.late(),
+                    Long.toString(System.nanoTime() & 0xffffffffL, 36)));
             return 0;
         }
     }
