Dialogs with route sets, changes, glare and session timers; an overload gate before the router

Needed for the SIP path: re-INVITE and UPDATE cross the router's two legs (491 on glare), sessions are refreshed and end when the other side is gone (RFC 4028), forked 200s are ended, bodies and unknown headers cross unchanged, a session that comes round again gets 482, forged responses are dropped. coralcove.overload decides what is looked at first and what is turned away at once.

--- a/src/main/java/coralcove/edge/CallHeaders.java
+++ b/src/main/java/coralcove/edge/CallHeaders.java
@@ -1,8 +1,10 @@
 package coralcove.edge;
 
+import coralcove.sip.Field;
 import coralcove.sip.Params;
 import coralcove.sip.SipMessage;
 import coralcove.sip.SipUri;
+import java.util.Set;
 
 /** The stated headers of a session's INVITE (docs/protocol.md), read and written in one place. */
 public record CallHeaders(int service, double value, int width, boolean redial, boolean cut, int farEnd, int origin,
@@ -62,6 +64,24 @@
         throw new IllegalArgumentException("X-Time-Left " + text);
     }
 
+    /** Fields that belong to one leg, or that {@link #write} writes itself; all others cross unchanged. */
+    private static final Set<String> OF_A_LEG = Set.of("Via", "From", "To", "Call-ID", "CSeq", "Contact", "Route",
+            "Record-Route", "Max-Forwards", "Content-Length", "Content-Type", "Expires", "Session-ID", "X-Service",
+            "X-Far-End", "X-Origin", "X-Time-Left", "Supported", "Session-Expires", "Min-SE", "Require",
+            "Proxy-Require");
+
+    /** Copies the body and what is not of one leg only from the INVITE that came to the one that goes on. */
+    public static void pass(SipMessage from, SipMessage to) {
+        for (Field field : from.fields()) {
+            if (!OF_A_LEG.contains(field.name())) {
+                to.add(field.name(), field.value());
+            }
+        }
+        if (from.body().length > 0) {
+            to.body(from.header("Content-Type", "application/sdp"), from.body());
+        }
+    }
+
     /** Writes them into an INVITE; {@code origin} below 0 is left out. */
     public static SipMessage write(SipMessage invite, CallHeaders it, int origin, long left, String sessionId) {
         invite.add("X-Service", it.service + ";value=" + it.value + ";width=" + it.width
--- a/src/main/java/coralcove/edge/EdgeCore.java
+++ b/src/main/java/coralcove/edge/EdgeCore.java
@@ -21,6 +21,7 @@
 import coralcove.sip.transaction.ClientTx;
 import coralcove.sip.transaction.ServerTx;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -90,6 +91,7 @@
     private final Trunks trunks = new Trunks();
     private final Map<Long, Place> roster = new LinkedHashMap<>();
     private final Map<Long, Held> open = new LinkedHashMap<>();
+    private final Map<String, Held> bySession = new HashMap<>();
     private final TreeMap<Integer, int[]> toldCircuits = new TreeMap<>();
     private long nextId = 1;
     private long listVersion = -1;
@@ -137,6 +139,17 @@
         rest(now, out);
     }
 
+    @Override
+    public void turnAway(long now, Hop from, SipMessage message, long comeBack, Out out) {
+        agent.turnAway(now, from, message, Outcomes.retryAfter(comeBack), out);
+        rest(now, out);
+    }
+
+    @Override
+    public boolean repeat(SipMessage message) {
+        return agent.repeat(message);
+    }
+
     @Override
     public void malformed(long now, Hop from, BadMessage problem, Out out) {
         agent.malformed(now, from, problem, out);
@@ -193,6 +206,12 @@
             agent.reject(now, call, 404, "Not Found", out);
             return;
         }
+        if (bySession.containsKey(call.sessionId())) {
+            // The same session again while it is in hand: it went round in a circle (RFC 3261 16.3).
+            agent.count("482");
+            agent.reject(now, call, 482, "Loop Detected", out);
+            return;
+        }
         if (stopping || unanswered >= settings.mostOpen()) {
             agent.count(stopping ? "stopping" : "too-many-open");
             agent.reject(now, call, 503, "Service Unavailable", out, "Retry-After",
@@ -211,6 +230,9 @@
         Held held = new Held(id, call, headers, session);
         call.owner(held);
         open.put(id, held);
+        if (!call.sessionId().isEmpty()) {
+            bySession.put(call.sessionId(), held);
+        }
         unanswered++;
         out.log(mine ? "arrived" : trunk ? "transit" : "session", call.sessionId(), "far end " + headers.farEnd());
         if (trunk) {
@@ -258,6 +280,7 @@
         SipMessage invite = agent.request("INVITE", SipUri.text(held.headers.number(), settings.exchange()));
         int hops = (int) Params.of("x;n=" + held.in.invite().header("Max-Forwards", "70")).number("n", 70);
         invite.set("Max-Forwards", Integer.toString(hops - 1));
+        CallHeaders.pass(held.in.invite(), invite);
         return CallHeaders.write(invite, held.headers, held.headers.origin(), left, held.in.sessionId());
     }
 
@@ -363,6 +386,7 @@
             circuits(now, held.headers.origin());
         }
         open.remove(held.id);
+        bySession.remove(held.in.sessionId(), held);
     }
 
     @Override
@@ -382,7 +406,7 @@
         held.stands = true;
         unanswered--;
         out.log("stands", held.in.sessionId(), (now - leg.sentAt) / 1000 + " ms");
-        agent.answer(now, held.in, out);
+        agent.answer(now, held.in, response, out);
         if (held.session != null) {
             router.after(now, held.id, Ending.STANDS, Cause.NONE, leg.exchange, now - leg.sentAt, 0, true);
         }
@@ -466,6 +490,34 @@
         }
     }
 
+    /** A change of a standing call crosses to its other leg; a change already under way there is glare. */
+    @Override
+    public void changing(long now, Call call, SipMessage invite, Out out) {
+        Call other = otherLeg(call);
+        boolean sent = other != null && agent.change(now, other, invite.header("Content-Type", "application/sdp"),
+                invite.body(), out);
+        if (!sent) {
+            agent.answerChange(now, call, 491, "Request Pending", "", new byte[0], out);
+        }
+    }
+
+    @Override
+    public void changed(long now, Call call, SipMessage response, Out out) {
+        Call other = otherLeg(call);
+        if (other != null) {
+            agent.answerChange(now, other, response.status(), response.reason(),
+                    response.header("Content-Type", "application/sdp"), response.body(), out);
+        }
+    }
+
+    private static Call otherLeg(Call call) {
+        if (call.owner() instanceof Leg leg) {
+            return leg.held.in;
+        }
+        Held held = (Held) call.owner();
+        return held.leg == null ? null : held.leg.call;
+    }
+
     /** Tells the module of a group's circuits, for each machine that has served its number. */
     private void circuits(long now, int number) {
         int free = trunks.free(now, number);
--- a/src/main/java/coralcove/exchange/ExchangeCore.java
+++ b/src/main/java/coralcove/exchange/ExchangeCore.java
@@ -301,7 +301,7 @@
             out.log("answer-lost", call.sessionId(), "");
             return;
         }
-        processor.work(now, settings.work().answer(), (at, o) -> agent.answer(at, call, o));
+        processor.work(now, settings.work().answer(), (at, o) -> agent.answer(at, call, call.invite(), o));
     }
 
     private void freeLine(Line line) {
@@ -320,6 +320,7 @@
         SipMessage invite = agent.request("INVITE", SipUri.text(headers.number(), route.hop()));
         long hops = coralcove.sip.Params.of("x;n=" + call.invite().header("Max-Forwards", "70")).number("n", 70);
         invite.set("Max-Forwards", Long.toString(hops - 1));
+        CallHeaders.pass(call.invite(), invite);
         CallHeaders.write(invite, headers, settings.number(), Math.max(0, headers.left() - waited), call.sessionId());
         Relay relay = new Relay(call, route.user().matches("\\d{1,5}") ? Integer.parseInt(route.user()) : -1);
         call.owner(relay);
@@ -341,7 +342,7 @@
         Relay relay = (Relay) call.owner();
         processor.work(now, settings.work().answer(), (at, o) -> {
             if (relay.in.trying()) {
-                agent.answer(at, relay.in, o);
+                agent.answer(at, relay.in, response, o);
             } else if (!relay.in.stands()) {
                 agent.bye(at, relay.out, null, o);
             }
@@ -404,6 +405,26 @@
         }
     }
 
+    @Override
+    public void changing(long now, Call call, SipMessage invite, Out out) {
+        if (!(call.owner() instanceof Relay relay)) {
+            agent.answerChange(now, call, 200, "OK", invite.header("Content-Type", "application/sdp"), invite.body(), out);
+            return;
+        }
+        Call other = call == relay.in ? relay.out : relay.in;
+        if (!agent.change(now, other, invite.header("Content-Type", "application/sdp"), invite.body(), out)) {
+            agent.answerChange(now, call, 491, "Request Pending", "", new byte[0], out);
+        }
+    }
+
+    @Override
+    public void changed(long now, Call call, SipMessage response, Out out) {
+        if (call.owner() instanceof Relay relay) {
+            agent.answerChange(now, call == relay.in ? relay.out : relay.in, response.status(), response.reason(),
+                    response.header("Content-Type", "application/sdp"), response.body(), out);
+        }
+    }
+
     // ---- the own callers
 
     private void nextArrival() {
--- a/src/main/java/coralcove/network/LiveNetwork.java
+++ b/src/main/java/coralcove/network/LiveNetwork.java
@@ -1,5 +1,6 @@
 package coralcove.network;
 
+import coralcove.overload.Gate;
 import coralcove.sip.BadMessage;
 import coralcove.sip.Core;
 import coralcove.sip.Hop;
@@ -11,7 +12,6 @@
 import java.io.UncheckedIOException;
 import java.util.Map;
 import java.util.PriorityQueue;
-import java.util.concurrent.ArrayBlockingQueue;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 import org.slf4j.Logger;
@@ -19,8 +19,6 @@
 
 /** Cores on real sockets: one thread a node owns its core; MINA's threads hand it what they read. */
 public final class LiveNetwork implements Network, AutoCloseable {
-    /** Inputs waiting for one node at most; past it what is read is dropped and counted, as a full socket would. */
-    private static final int MOST_WAITING = 100_000;
     /** µs: the longest nap of a node's thread without a timer. */
     private static final long LONGEST_NAP = 100_000;
     /** Inputs taken between two looks at the timers. */
@@ -36,10 +34,9 @@
         final boolean tapped;
         final Sockets sockets;
         final Logger log;
-        final ArrayBlockingQueue<Act> inbox = new ArrayBlockingQueue<>(MOST_WAITING);
+        final Inbox inbox = new Inbox();
         final Thread thread;
         volatile boolean alive = true;
-        volatile long dropped;
 
         Node(String name, Hop self, Core core, boolean tapped) throws IOException {
             this.name = name;
@@ -53,52 +50,56 @@
         @Override
         public void run() {
             core.start(now(), this);
-            java.util.ArrayList<Act> batch = new java.util.ArrayList<>(BATCH);
+            int looked = 0;
             while (alive) {
                 try {
                     long nap = Math.max(0, Math.min(LONGEST_NAP, core.due() - now()));
-                    Act first = nap == 0 ? inbox.poll() : inbox.poll(nap, TimeUnit.MICROSECONDS);
-                    if (first != null) {
-                        batch.add(first);
-                        inbox.drainTo(batch, BATCH - 1);
-                        for (Act act : batch) {
-                            if (alive) {
-                                act.run(now(), this);
-                            }
-                        }
-                        batch.clear();
+                    Inbox.Input input = inbox.next(nap);
+                    if (input != null) {
+                        look(input);
                     }
-                    if (alive && core.due() <= now()) {
+                    if (alive && (input == null || ++looked >= BATCH) && core.due() <= now()) {
+                        looked = 0;
                         core.tick(now(), this);
                     }
                 } catch (InterruptedException e) {
                     return;
                 } catch (RuntimeException e) {
-                    batch.clear();
                     log.error("fault", e);
                 }
             }
         }
 
-        private void hand(Act act) {
-            if (!inbox.offer(act)) {
-                dropped++;
+        private void look(Inbox.Input input) {
+            long now = now();
+            if (input.act() != null) {
+                input.act().run(now, this);
+                return;
+            }
+            try {
+                SipMessage message = SipParser.parse(input.bytes(), 0, input.bytes().length);
+                boolean setUp = message.method().equals("INVITE") && message.toTag().isEmpty();
+                if (setUp && inbox.look(now, input, core.repeat(message)) == Gate.Verdict.TURN_AWAY) {
+                    core.turnAway(now, input.from(), message, inbox.comeBack(), this);
+                } else {
+                    core.receive(now, input.from(), message, this);
+                }
+            } catch (BadMessage e) {
+                core.malformed(now, input.from(), e, this);
             }
         }
 
+        private void hand(Act act) {
+            inbox.act(act, now());
+        }
+
         @Override
         public void read(Hop from, byte[] bytes) {
             long at = now();
             if (tapped && tap != null && alive) {
                 tap.message(at, name, false, from, bytes);
             }
-            hand((now, out) -> {
-                try {
-                    core.receive(now, from, SipParser.parse(bytes, 0, bytes.length), out);
-                } catch (BadMessage e) {
-                    core.malformed(now, from, e, out);
-                }
-            });
+            inbox.read(from, bytes, at);
         }
 
         @Override
@@ -190,7 +191,7 @@
 
     /** Inputs that were dropped at full inboxes. */
     public long dropped() {
-        return nodes.values().stream().mapToLong(n -> n.dropped).sum();
+        return nodes.values().stream().mapToLong(n -> n.inbox.dropped()).sum();
     }
 
     @Override
--- a/src/main/java/coralcove/sip/Core.java
+++ b/src/main/java/coralcove/sip/Core.java
@@ -9,6 +9,16 @@
 
     void receive(long now, Hop from, SipMessage message, Out out);
 
+    /** A set-up that the overload gate turned away: answered at once with a come-back time, and nothing else. */
+    default void turnAway(long now, Hop from, SipMessage message, long comeBack, Out out) {
+        receive(now, from, message, out);
+    }
+
+    /** Whether this request was taken before and is a repeat. */
+    default boolean repeat(SipMessage message) {
+        return false;
+    }
+
     /** Something that was read from {@code from} and is no message. */
     void malformed(long now, Hop from, BadMessage problem, Out out);
 
--- a/src/main/java/coralcove/sip/dialog/Agent.java
+++ b/src/main/java/coralcove/sip/dialog/Agent.java
@@ -11,7 +11,9 @@
 import coralcove.sip.transaction.ClientTx;
 import coralcove.sip.transaction.ServerTx;
 import coralcove.sip.transaction.Transactions;
+import java.util.Collections;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeMap;
@@ -42,6 +44,16 @@
         /** A standing call has ended by the other side; {@code bye} is null where its ACK never came. */
         void hungUp(long now, Call call, SipMessage bye, Out out);
 
+        /** A standing call is to be changed by a re-INVITE; answered through {@link Agent#answerChange}. */
+        default void changing(long now, Call call, SipMessage invite, Out out) {
+            throw new UnsupportedOperationException("no call of this program is changed");
+        }
+
+        /** What became of a change of this side; null where no answer came. */
+        default void changed(long now, Call call, SipMessage response, Out out) {
+            throw new UnsupportedOperationException("this program changes no call");
+        }
+
         /** Another request; answered through {@link Agent#respond}. */
         void request(long now, ServerTx tx, Hop from, Out out);
 
@@ -49,6 +61,12 @@
         void replied(long now, ClientTx tx, SipMessage response, Out out);
     }
 
+    /** Early dialogs of one INVITE that are kept: more than any fork here makes. */
+    static final int MOST_EARLY = 8;
+    /** Seconds of the session interval asked for, and the least taken (RFC 4028 section 4). */
+    private static final int INTERVAL = 90;
+    /** µs before its end at which a session that was not refreshed is ended: a third, 32 s at most (RFC 4028 10). */
+    private static final long LATEST_END = 32_000_000;
     /** Bytes: a request longer than this goes by TCP (RFC 3261 18.1.1). */
     public static final int LONGEST_DATAGRAM = 1300;
     /** Header bytes that are added to a request after its length is taken: the Via. */
@@ -63,6 +81,8 @@
     private final Map<String, Call> calls = new HashMap<>();
     private final TreeMap<String, Long> counters = new TreeMap<>();
     private long numbers;
+    /** The Retry-After with which the request now being taken is turned away, or null. */
+    private String turnedAway;
 
     /** {@code seed} makes the ids of this start unlike those of any other node or start. */
     public Agent(Hop self, Timers timers, String seed, User user) {
@@ -108,6 +128,18 @@
         }
     }
 
+    /** Whether this request was taken before and is a repeat. */
+    public boolean repeat(SipMessage request) {
+        return transactions.knows(request);
+    }
+
+    /** Takes one request only to turn it down with 503; what would repeat it is answered the same. */
+    public void turnAway(long now, Hop from, SipMessage request, String retryAfter, Out out) {
+        turnedAway = retryAfter;
+        transactions.receive(now, from, request, out);
+        turnedAway = null;
+    }
+
     public void broken(long now, Hop peer, boolean refused, Out out) {
         transactions.broken(now, peer, refused, out);
     }
@@ -125,6 +157,8 @@
 
     /** Sets a call up; {@code invite} is made by {@link #request}. */
     public Call invite(long now, SipMessage invite, Hop to, Object owner, Out out) {
+        invite.add("Supported", "timer").add("Session-Expires", INTERVAL + ";refresher=uac")
+                .add("Min-SE", Integer.toString(INTERVAL));
         Call call = new Call(true, invite, invite.fromTag());
         call.owner = owner;
         calls.put(call.key(), call);
@@ -192,6 +226,7 @@
 
     private SipMessage dialogRequest(String method, Call call, long sequence) {
         SipMessage request = SipMessage.request(method, call.remoteTarget).add("Max-Forwards", "70");
+        call.routes.forEach(route -> request.add("Route", route));
         if (call.outgoing) {
             request.add("From", call.invite.header("From"));
             request.add("To", tagged(call.invite.header("To"), call.remoteTag));
@@ -218,10 +253,24 @@
 
     /** Answers a call with 200. */
     public void answer(long now, Call call, Out out) {
+        answer(now, call, null, out);
+    }
+
+    /** Answers a call with 200 and the body of {@code like}, which may be null. */
+    public void answer(long now, Call call, SipMessage like, Out out) {
         if (call.state == Call.State.TRYING) {
             call.state = Call.State.STANDS;
             SipMessage ok = reply(call, 200, "OK").add("Contact", "<" + SipUri.text("", self) + ">");
+            call.invite.headers("Record-Route").forEach(route -> ok.add("Record-Route", route));
+            Params asked = Params.of(call.invite.header("Session-Expires", ""));
+            if (!asked.value().isEmpty()) {
+                ok.add("Require", "timer").add("Session-Expires", asked.value() + ";refresher=uac");
+            }
+            if (like != null && like.body().length > 0) {
+                ok.body(like.header("Content-Type", "application/sdp"), like.body());
+            }
             transactions.respond(now, call.server, ok, out);
+            interval(now, call, asked, false);
         }
     }
 
@@ -254,7 +303,169 @@
         return SipMessage.reply(tx.request(), status, reason, seed + "r" + numbers++);
     }
 
+    // ---- changes of a standing call, and its session timer
+
+    /** Sends a re-INVITE with this body; false while another change of the call is under way (RFC 3261 14.1). */
+    public boolean change(long now, Call call, String type, byte[] body, Out out) {
+        if (call.state != Call.State.STANDS || call.change != null || call.changing != null) {
+            return false;
+        }
+        SipMessage invite = inDialog("INVITE", call).add("Contact", "<" + SipUri.text("", self) + ">");
+        if (body.length > 0) {
+            invite.body(type, body);
+        }
+        call.change = transactions.send(now, invite, fitting(invite, call.remoteHop), call, out);
+        return true;
+    }
+
+    /** Answers the re-INVITE that {@link User#changing} told of. */
+    public void answerChange(long now, Call call, int status, String reason, String type, byte[] body, Out out) {
+        if (call.changing == null) {
+            return;
+        }
+        SipMessage reply = reply(call.changing, status, reason).add("Contact", "<" + SipUri.text("", self) + ">");
+        if (body.length > 0) {
+            reply.body(type, body);
+        }
+        ServerTx changing = call.changing;
+        call.changing = null;
+        transactions.respond(now, changing, reply, out);
+    }
+
+    /** Starts or renews the session timer: the refresher renews at half time, the other side ends a dead session. */
+    private void interval(long now, Call call, Params expires, boolean refresher) {
+        timers.cancel(call.refresh);
+        long seconds = seconds(expires.value());
+        if (seconds < INTERVAL || call.state != Call.State.STANDS) {
+            return;
+        }
+        call.interval = seconds * 1_000_000;
+        call.refreshes = refresher;
+        if (refresher) {
+            call.refresh = timers.set(now + call.interval / 2, (at, o) -> refresh(at, call, o));
+        } else {
+            long last = call.interval - Math.min(LATEST_END, call.interval / 3);
+            call.refresh = timers.set(now + last, (at, o) -> dead(at, call, o));
+        }
+    }
+
+    private static long seconds(String text) {
+        return text.matches("\\d{1,9}") ? Long.parseLong(text) : 0;
+    }
+
+    private void refresh(long now, Call call, Out out) {
+        if (call.state != Call.State.STANDS) {
+            return;
+        }
+        if (call.change == null && call.changing == null) {
+            SipMessage update = inDialog("UPDATE", call).add("Contact", "<" + SipUri.text("", self) + ">")
+                    .add("Supported", "timer").add("Session-Expires", INTERVAL + ";refresher=uac");
+            call.change = transactions.send(now, update, fitting(update, call.remoteHop), call, out);
+        }
+        // A refresh that finds another change under way comes a little later.
+        call.refresh = timers.set(now + (call.change == null ? 2_000_000 : call.interval / 2),
+                (at, o) -> refresh(at, call, o));
+    }
+
+    /** The other side has gone without a BYE: the call is ended here, so that its circuits are free (RFC 4028 10). */
+    private void dead(long now, Call call, Out out) {
+        if (call.state == Call.State.STANDS) {
+            count("session-expired");
+            out.log("session-expired", call.sessionId, "");
+            bye(now, call, null, out);
+            user.hungUp(now, call, null, out);
+        }
+    }
+
+    private void changedBy(long now, Call call, ClientTx tx, SipMessage response, Out out) {
+        boolean invite = tx.request().method().equals("INVITE");
+        if (response != null && response.status() < 200) {
+            return;
+        }
+        int status = response == null ? 408 : response.status();
+        if (invite && status < 300) {
+            // Each copy of the 200 gets its ACK.
+            SipMessage ack = dialogRequest("ACK", call, tx.request().sequence());
+            ack.addFirst("Via", Via.text(self.over(call.remoteHop.tcp()), Via.COOKIE + seed + ".a" + numbers++));
+            retarget(call, response);
+            out.send(call.remoteHop, ack);
+        }
+        if (call.change != tx) {
+            return;
+        }
+        call.change = null;
+        if (status == 481 || status == 408) {
+            // RFC 3261 12.2.1.2: the dialog is gone at the other side.
+            if (call.state == Call.State.STANDS) {
+                bye(now, call, null, out);
+                user.hungUp(now, call, null, out);
+            }
+        } else if (!invite) {
+            if (status < 300) {
+                retarget(call, response);
+                interval(now, call, Params.of(response.header("Session-Expires", "0")), true);
+            }
+        } else {
+            user.changed(now, call, response, out);
+        }
+    }
+
+    private void retarget(Call call, SipMessage message) {
+        SipUri contact = SipUri.of(message.header("Contact", ""));
+        if (contact != null) {
+            call.remoteTarget = SipUri.text(contact.user(), contact.hop());
+            call.remoteHop = call.routes.isEmpty() ? contact.hop() : call.remoteHop;
+        }
+    }
+
+    /** The route set's first hop, or the target's where there is none (RFC 3261 12.2.1.1; strict routes are not spoken). */
+    private static Hop firstHop(Call call, Hop target) {
+        SipUri first = call.routes.isEmpty() ? null : SipUri.of(call.routes.get(0));
+        return first == null ? target : first.hop();
+    }
+
+    private void inDialogRequest(long now, ServerTx tx, Out out) {
+        SipMessage request = tx.request();
+        String method = request.method();
+        Call call = calls.get(request.callId() + "|" + request.toTag());
+        if (call == null || call.state != Call.State.STANDS || !request.fromTag().equals(call.remoteTag)) {
+            refuse(now, tx, 481, "No such dialog", out);
+        } else if (request.sequence() <= call.remoteSequence) {
+            refuse(now, tx, 500, "CSeq out of order", out);
+        } else if (method.equals("BYE")) {
+            call.remoteSequence = request.sequence();
+            end(call);
+            respond(now, tx, reply(tx, 200, "OK"), out);
+            user.hungUp(now, call, request, out);
+        } else if (call.change != null) {
+            // Glare (14.1): both sides' changes crossed, and neither is taken.
+            call.remoteSequence = request.sequence();
+            refuse(now, tx, 491, "Request Pending", out);
+        } else if (call.changing != null) {
+            call.remoteSequence = request.sequence();
+            count("500");
+            respond(now, tx, reply(tx, 500, "Earlier change pending").add("Retry-After", "1"), out);
+        } else if (method.equals("UPDATE")) {
+            call.remoteSequence = request.sequence();
+            retarget(call, request);
+            Params expires = Params.of(request.header("Session-Expires", "0"));
+            SipMessage ok = reply(tx, 200, "OK").add("Contact", "<" + SipUri.text("", self) + ">");
+            if (seconds(expires.value()) > 0) {
+                ok.add("Session-Expires", expires.value() + ";refresher=uac");
+            }
+            respond(now, tx, ok, out);
+            interval(now, call, expires, false);
+        } else {
+            call.remoteSequence = request.sequence();
+            retarget(call, request);
+            call.changing = tx;
+            tx.owner(call);
+            user.changing(now, call, request, out);
+        }
+    }
+
     private void end(Call call) {
+        timers.cancel(call.refresh);
         call.state = Call.State.ENDED;
         calls.remove(call.key(), call);
     }
@@ -266,31 +477,21 @@
         SipMessage request = tx.request();
         String method = request.method();
         String tag = request.toTag();
-        if (request.header("Max-Forwards", "70").strip().equals("0") && !method.equals("OPTIONS") && tag.isEmpty()) {
+        if (turnedAway != null && tag.isEmpty()) {
+            count("turned-away");
+            respond(now, tx, reply(tx, 503, "Overloaded").add("Retry-After", turnedAway), out);
+        } else if (request.header("Max-Forwards", "70").strip().equals("0") && !method.equals("OPTIONS") && tag.isEmpty()) {
             refuse(now, tx, 483, "Too Many Hops", out);
         } else if (method.equals("INVITE") && tag.isEmpty()) {
             invited(now, tx, from, out);
-        } else if (method.equals("BYE") || method.equals("INVITE")) {
-            Call call = calls.get(request.callId() + "|" + tag);
-            if (call == null || call.state != Call.State.STANDS) {
-                refuse(now, tx, 481, "No such dialog", out);
-            } else if (request.sequence() <= call.remoteSequence) {
-                refuse(now, tx, 500, "CSeq out of order", out);
-            } else if (method.equals("INVITE")) {
-                call.remoteSequence = request.sequence();
-                refuse(now, tx, 488, "Not Acceptable Here", out);
-            } else {
-                call.remoteSequence = request.sequence();
-                end(call);
-                respond(now, tx, reply(tx, 200, "OK"), out);
-                user.hungUp(now, call, request, out);
-            }
+        } else if (method.equals("BYE") || method.equals("INVITE") || method.equals("UPDATE")) {
+            inDialogRequest(now, tx, out);
         } else if (METHODS.contains(method)) {
             user.request(now, tx, from, out);
         } else {
             count("unknown-method");
             respond(now, tx, reply(tx, 405, "Method Not Allowed")
-                    .add("Allow", "INVITE, ACK, CANCEL, BYE, OPTIONS, SUBSCRIBE, NOTIFY, MESSAGE, REGISTER"), out);
+                    .add("Allow", "INVITE, ACK, CANCEL, BYE, UPDATE, OPTIONS, SUBSCRIBE, NOTIFY, MESSAGE, REGISTER"), out);
         }
     }
 
@@ -311,7 +512,8 @@
         tx.owner(call);
         call.remoteTag = invite.fromTag();
         call.remoteTarget = SipUri.text(contact.user(), contact.hop());
-        call.remoteHop = contact.hop();
+        call.routes = invite.headers("Record-Route");
+        call.remoteHop = firstHop(call, contact.hop());
         call.remoteSequence = invite.sequence();
         calls.put(call.key(), call);
         user.invited(now, call, from, out);
@@ -320,7 +522,10 @@
     @Override
     public void cancelled(long now, ServerTx invite, Out out) {
         Call call = callOf(invite);
-        if (call != null && call.state == Call.State.TRYING) {
+        if (call != null && call.changing == invite) {
+            call.changing = null;
+            transactions.respond(now, invite, reply(invite, 487, "Request Terminated"), out);
+        } else if (call != null && call.state == Call.State.TRYING) {
             reject(now, call, 487, "Request Terminated", out);
             user.cancelled(now, call, out);
         }
@@ -339,6 +544,7 @@
     public void unacked(long now, ServerTx tx, Out out) {
         Call call = callOf(tx);
         if (call != null && call.state == Call.State.STANDS) {
+            count("unacked");
             bye(now, call, null, out);
             user.hungUp(now, call, null, out);
         }
@@ -346,6 +552,10 @@
 
     @Override
     public void response(long now, ClientTx tx, SipMessage response, Out out) {
+        if (tx.owner() instanceof Call changed && tx != changed.client) {
+            changedBy(now, changed, tx, response, out);
+            return;
+        }
         if (!(tx.owner() instanceof Call call) || !tx.request().method().equals("INVITE")) {
             if (!tx.request().method().equals("BYE") && !tx.request().method().equals("CANCEL")) {
                 user.replied(now, tx, response, out);
@@ -355,6 +565,10 @@
         if (response.status() < 200) {
             boolean first = !call.heard;
             call.heard = true;
+            String tag = response.toTag();
+            if (!tag.isEmpty() && !call.early.contains(tag) && call.early.size() < MOST_EARLY) {
+                call.early.add(tag);
+            }
             if (call.cancelled && first) {
                 transactions.cancel(now, call.client, out);
             } else if (!call.cancelled && response.status() > 100) {
@@ -370,13 +584,20 @@
 
     private void accepted(long now, Call call, SipMessage response, Out out) {
         if (call.ack != null) {
-            out.send(call.remoteHop, call.ack);
+            if (response.toTag().equals(call.remoteTag)) {
+                out.send(call.remoteHop, call.ack);
+            } else {
+                fork(now, call, response, out);
+            }
             return;
         }
         SipUri contact = SipUri.of(response.header("Contact", ""));
         call.remoteTag = response.toTag();
         call.remoteTarget = contact == null ? call.invite.uri() : SipUri.text(contact.user(), contact.hop());
-        call.remoteHop = contact == null ? call.remoteHop : contact.hop();
+        List<String> routes = response.headers("Record-Route");
+        Collections.reverse(routes);
+        call.routes = routes;
+        call.remoteHop = firstHop(call, contact == null ? call.remoteHop : contact.hop());
         call.ack = dialogRequest("ACK", call, call.invite.sequence());
         call.ack.addFirst("Via", Via.text(self.over(call.remoteHop.tcp()), Via.COOKIE + seed + ".a" + numbers++));
         out.send(call.remoteHop, call.ack);
@@ -386,13 +607,33 @@
             bye(now, call, null, out);
             user.rejected(now, call, null, Lost.NO, out);
         } else {
+            interval(now, call, Params.of(response.header("Session-Expires", "0")), true);
             user.answered(now, call, response, out);
         }
     }
 
+    /** A second 2xx, of another branch of a fork: it is acknowledged and ended (RFC 3261 13.2.2.4). */
+    private void fork(long now, Call call, SipMessage response, Out out) {
+        SipUri contact = SipUri.of(response.header("Contact", ""));
+        if (contact == null) {
+            return;
+        }
+        count("forked");
+        Call other = new Call(true, call.invite, call.localTag);
+        other.remoteTag = response.toTag();
+        other.remoteTarget = SipUri.text(contact.user(), contact.hop());
+        other.remoteHop = contact.hop();
+        SipMessage ack = dialogRequest("ACK", other, call.invite.sequence());
+        ack.addFirst("Via", Via.text(self.over(other.remoteHop.tcp()), Via.COOKIE + seed + ".a" + numbers++));
+        out.send(other.remoteHop, ack);
+        transactions.send(now, inDialog("BYE", other), other.remoteHop, null, out);
+    }
+
     @Override
     public void failed(long now, ClientTx tx, Transactions.Failure failure, Out out) {
-        if (tx.owner() instanceof Call call && tx.request().method().equals("INVITE")) {
+        if (tx.owner() instanceof Call changed && tx != changed.client) {
+            changedBy(now, changed, tx, null, out);
+        } else if (tx.owner() instanceof Call call && tx.request().method().equals("INVITE")) {
             if (call.state == Call.State.TRYING) {
                 lost(now, call, switch (failure) {
                     case TIME_OUT -> Lost.TIMED_OUT;
--- a/src/main/java/coralcove/sip/transaction/Transactions.java
+++ b/src/main/java/coralcove/sip/transaction/Transactions.java
@@ -58,6 +58,7 @@
     private final Map<String, ServerTx> accepted = new HashMap<>();
     private long branches;
     private long dropped;
+    private long forged;
 
     /** {@code seed} tells this start of the node's branches from those of any other. */
     public Transactions(Hop self, Timers timers, String seed, User user) {
@@ -71,6 +72,11 @@
         return dropped;
     }
 
+    /** Responses that came from an address to which their request had not gone. */
+    public long forged() {
+        return forged;
+    }
+
     public int size() {
         return clients.size() + servers.size();
     }
@@ -147,7 +153,7 @@
         clients.remove(tx.key, tx);
     }
 
-    private void response(long now, SipMessage response, Out out) {
+    private void response(long now, Hop from, SipMessage response, Out out) {
         Via via = Via.of(response.header("Via"));
         ClientTx tx = via == null ? null : clients.get(key(via.branch(), response.cseqMethod()));
         if (via != null && via.branch().startsWith(Via.COOKIE + seed + ONCE)) {
@@ -157,6 +163,12 @@
             out.log("stray-response", response.header("Session-ID", ""), response.toString());
             return;
         }
+        if (!from.equals(tx.to)) {
+            // The right branch from another address than the request went to: forged (RFC 3581 4 answers from there).
+            forged++;
+            out.log("forged-response", response.header("Session-ID", ""), from + " for " + tx.to);
+            return;
+        }
         int status = response.status();
         if (!tx.invite()) {
             if (status < 200) {
@@ -235,7 +247,7 @@
 
     public void receive(long now, Hop from, SipMessage message, Out out) {
         if (!message.isRequest()) {
-            response(now, message, out);
+            response(now, from, message, out);
             return;
         }
         Via via = stamped(message, from);
@@ -271,6 +283,12 @@
         }
     }
 
+    /** Whether a request with this branch is in hand or was answered a while ago. */
+    public boolean knows(SipMessage request) {
+        Via via = Via.of(request.header("Via"));
+        return servers.containsKey(key(via.branch() + "|" + via.host() + ":" + via.port(), request.method()));
+    }
+
     private static Via stamped(SipMessage message, Hop from) {
         String text = message.header("Via");
         Via via = Via.of(text);
