--- a/src/main/java/coralcove/judge/Judge.java
+++ b/src/main/java/coralcove/judge/Judge.java
@@ -131,6 +131,11 @@
             unreadable++;
             return;
         }
+        read(now, node, out, peer, message);
+    }
+
+    /** The same for a message that was read already. */
+    public void read(long now, String node, boolean out, Hop peer, SipMessage message) {
         switch (message.cseqMethod()) {
             case "INVITE" -> {
                 if (message.isRequest()) {
--- a/src/main/java/coralcove/network/LiveNetwork.java
+++ b/src/main/java/coralcove/network/LiveNetwork.java
@@ -1,5 +1,6 @@
 package coralcove.network;
 
+import coralcove.network.VirtualNetwork.Weather;
 import coralcove.overload.Gate;
 import coralcove.sip.BadMessage;
 import coralcove.sip.Core;
@@ -11,9 +12,11 @@
 import java.io.IOException;
 import java.io.UncheckedIOException;
 import java.util.Map;
+import java.util.SplittableRandom;
 import java.util.PriorityQueue;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
+import java.util.random.RandomGenerator;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -34,6 +37,7 @@
         final boolean tapped;
         final Sockets sockets;
         final Logger log;
+        final RandomGenerator chance;
         final Inbox inbox = new Inbox();
         final Thread thread;
         volatile boolean alive = true;
@@ -43,6 +47,7 @@
             this.core = core;
             this.tapped = tapped;
             log = LoggerFactory.getLogger(name);
+            chance = new SplittableRandom(seed * 31 + name.hashCode());
             sockets = new Sockets(self, this);
             thread = new Thread(this, name);
         }
@@ -124,7 +129,20 @@
             if (tapped && tap != null) {
                 tap.message(now(), name, true, to, bytes);
             }
-            sockets.send(to, bytes);
+            if (!to.tcp()) {
+                double drawn = chance.nextDouble();
+                if (drawn >= weather.loss()) {
+                    sockets.send(to, bytes);
+                    if (drawn > 1 - weather.doubled()) {
+                        sockets.send(to, bytes);
+                    }
+                }
+            } else {
+                sockets.send(to, bytes);
+                if (weather.reset() > 0 && chance.nextDouble() < weather.reset()) {
+                    sockets.cut(to);
+                }
+            }
         }
 
         @Override
@@ -142,6 +160,8 @@
     }
 
     private final Tap tap;
+    private final Weather weather;
+    private final long seed;
     private final Map<String, Node> nodes = new ConcurrentHashMap<>();
     private final PriorityQueue<Later> later = new PriorityQueue<>((a, b) -> a.at != b.at
             ? Long.compare(a.at, b.at) : Long.compare(a.order, b.order));
@@ -149,7 +169,14 @@
 
     /** {@code tap} hears on many threads, and may be null. */
     public LiveNetwork(Tap tap) {
+        this(tap, Weather.FAIR, 1);
+    }
+
+    /** The same with datagrams lost and doubled, and streams cut, as {@code weather} has it; its delays are not used. */
+    public LiveNetwork(Tap tap, Weather weather, long seed) {
         this.tap = tap;
+        this.weather = weather;
+        this.seed = seed;
     }
 
     /** µs since the epoch, by a clock that never goes back. */
--- a/src/main/java/coralcove/rehearsal/Meter.java
+++ b/src/main/java/coralcove/rehearsal/Meter.java
@@ -37,6 +37,10 @@
         } catch (BadMessage e) {
             return;
         }
+        read(now, node, out, message);
+    }
+
+    void read(long now, String node, boolean out, SipMessage message) {
         String session = message.header("Session-ID");
         if (session == null || !message.cseqMethod().equals("INVITE")) {
             return;
--- a/src/main/java/coralcove/rehearsal/Rehearse.java
+++ b/src/main/java/coralcove/rehearsal/Rehearse.java
@@ -14,10 +14,7 @@
 import java.net.ServerSocket;
 import java.nio.file.Files;
 import java.nio.file.Path;
-import java.util.ArrayList;
-import java.util.Comparator;
 import java.util.HashMap;
-import java.util.List;
 import java.util.Map;
 
 /** Runs one rehearsal from a day to its result, in virtual time or live. */
@@ -28,17 +25,6 @@
     private static final int FIRST_PORT = 20_000;
     private static final int LAST_PORT = 32_000;
 
-    /** One captured message, as the live taps note it. */
-    private record Seen(long at, long order, String node, boolean out, Hop peer, byte[] bytes, boolean refused) {
-        void tell(Network.Tap tap) {
-            if (bytes == null) {
-                tap.broken(at, node, peer, refused);
-            } else {
-                tap.message(at, node, out, peer, bytes);
-            }
-        }
-    }
-
     /** All that listen to one capture. */
     private record Taps(Network.Tap... taps) implements Network.Tap {
         @Override
@@ -77,63 +63,38 @@
     }
 
     /**
-     * Live on loopback sockets. The judge reads the capture in order of time when the day is over; what a killed
-     * router held is closed at its place in that order.
+     * Live on loopback sockets. The judge reads the capture while the day runs, in order of time and a little behind
+     * it; what a killed router held is closed at its place in that order.
      */
     public static Result live(Day day, long seed, String policy, Path capture) throws IOException {
-        List<Seen> seen = new ArrayList<>();
-        List<Runnable> marks = new ArrayList<>();
-        List<Long> markTimes = new ArrayList<>();
         Judge judge = new Judge(day.rules());
-        Judge late = new Judge(day.rules()) {
-            @Override
-            public void killed(String node) {
-                markTimes.add(LiveNetwork.clock());
-                marks.add(() -> judge.killed(node));
-            }
-
-            @Override
-            public void started(int number, long since) {
-                markTimes.add(since);
-                marks.add(() -> judge.started(number, since));
-            }
-        };
-        Network.Tap tap = new Network.Tap() {
-            @Override
-            public void message(long now, String node, boolean out, Hop peer, byte[] bytes) {
-                synchronized (seen) {
-                    seen.add(new Seen(now, seen.size(), node, out, peer, bytes, false));
+        Meter meter = new Meter();
+        Stats stats;
+        try (Capture file = Capture.to(capture)) {
+            InOrder order = new InOrder(judge, meter, file);
+            LiveNetwork network = new LiveNetwork(order, day.weather(), seed);
+            Judge late = new Judge(day.rules()) {
+                @Override
+                public void killed(String node) {
+                    order.mark(LiveNetwork.clock(), () -> judge.killed(node));
                 }
-            }
 
-            @Override
-            public void broken(long now, String node, Hop peer, boolean refused) {
-                synchronized (seen) {
-                    seen.add(new Seen(now, seen.size(), node, false, peer, null, refused));
+                @Override
+                public void started(int number, long since) {
+                    order.mark(since, () -> judge.started(number, since));
                 }
+            };
+            try {
+                stats = new Rehearsal(day, seed, policy, network, freePorts(Rehearsal.ports(day)), late).play();
+            } finally {
+                network.close();
+                order.close();
             }
-        };
-        Stats stats;
-        long end;
-        try (LiveNetwork network = new LiveNetwork(tap)) {
-            stats = new Rehearsal(day, seed, policy, network, freePorts(Rehearsal.ports(day)), late).play();
-            end = network.now();
-        }
-        Meter meter = new Meter();
-        try (Capture file = Capture.to(capture)) {
-            synchronized (seen) {
-                seen.sort(Comparator.comparingLong(Seen::at).thenComparingLong(Seen::order));
-                Network.Tap taps = new Taps(judge, meter, file);
-                int mark = 0;
-                for (Seen each : seen) {
-                    while (mark < marks.size() && markTimes.get(mark) <= each.at) {
-                        marks.get(mark++).run();
-                    }
-                    each.tell(taps);
-                }
+            judge.end(LiveNetwork.clock());
+            if (network.dropped() > 0) {
+                System.err.println("coralcove: " + network.dropped() + " inputs were dropped at full inboxes");
             }
         }
-        judge.end(end);
         return result(day, seed, policy, false, stats, meter, judge);
     }
 
--- a/src/main/java/coralcove/sip/Params.java
+++ b/src/main/java/coralcove/sip/Params.java
@@ -1,16 +1,16 @@
 package coralcove.sip;
 
-import java.util.LinkedHashMap;
-import java.util.Locale;
-import java.util.Map;
-
 /**
  * A header value split into what stands before its first parameter and its parameters; quoted strings and what
  * stands between angle brackets are not split (RFC 3261 section 25.1, generic-param).
  */
 public final class Params {
+    private static final String[] NONE = {};
+
     private final String value;
-    private final Map<String, String> params = new LinkedHashMap<>();
+    /** Names and values in turn: a value has few parameters, and looking through them beats any map. */
+    private String[] pairs = NONE;
+    private int count;
 
     private Params(String value) {
         this.value = value;
@@ -24,16 +24,35 @@
             end = next(text, from, ';');
             String param = text.substring(from, end).strip();
             int equals = param.indexOf('=');
-            String name = (equals < 0 ? param : param.substring(0, equals)).strip().toLowerCase(Locale.ROOT);
+            String name = (equals < 0 ? param : param.substring(0, equals)).strip();
             String found = equals < 0 ? "" : param.substring(equals + 1).strip();
             if (found.length() > 1 && found.startsWith("\"") && found.endsWith("\"")) {
                 found = found.substring(1, found.length() - 1).replaceAll("\\\\(.)", "$1");
             }
-            out.params.putIfAbsent(name, found);
+            out.add(name, found);
         }
         return out;
     }
 
+    private void add(String name, String found) {
+        if (2 * count == pairs.length) {
+            pairs = java.util.Arrays.copyOf(pairs, Math.max(4, 2 * pairs.length));
+        }
+        pairs[2 * count] = name;
+        pairs[2 * count + 1] = found;
+        count++;
+    }
+
+    /** The first parameter of this name, or null. */
+    private String find(String name) {
+        for (int i = 0; i < count; i++) {
+            if (pairs[2 * i].equalsIgnoreCase(name)) {
+                return pairs[2 * i + 1];
+            }
+        }
+        return null;
+    }
+
     /** The index of the next {@code mark} outside quotes and angle brackets, or the text's length. */
     static int next(String text, int from, char mark) {
         boolean quoted = false;
@@ -64,16 +83,17 @@
     }
 
     public boolean has(String name) {
-        return params.containsKey(name);
+        return find(name) != null;
     }
 
     public String get(String name, String otherwise) {
-        return params.getOrDefault(name, otherwise);
+        String found = find(name);
+        return found == null ? otherwise : found;
     }
 
     public long number(String name, long otherwise) {
         try {
-            String found = params.get(name);
+            String found = find(name);
             return found == null ? otherwise : Long.parseLong(found);
         } catch (NumberFormatException e) {
             return otherwise;
--- a/src/main/java/coralcove/sip/SipMessage.java
+++ b/src/main/java/coralcove/sip/SipMessage.java
@@ -17,6 +17,10 @@
     private final String reason;
     private final List<Field> fields = new ArrayList<>(12);
     private byte[] body = NO_BODY;
+    private String viaText;
+    private Via via;
+    private String fromText;
+    private String fromTag = "";
 
     private SipMessage(String method, String uri, int status, String reason) {
         this.method = method;
@@ -82,7 +86,7 @@
     /** The first value of this header, or null. */
     public String header(String name) {
         for (Field field : fields) {
-            if (field.name().equalsIgnoreCase(name)) {
+            if (field.name() == name || field.name().equalsIgnoreCase(name)) {
                 return field.value();
             }
         }
@@ -144,6 +148,16 @@
         body = bytes;
     }
 
+    /** The topmost Via, or null where it cannot be read; kept until that field changes. */
+    public Via via() {
+        String text = header("Via");
+        if (text != viaText) {
+            viaText = text;
+            via = text == null ? null : Via.of(text);
+        }
+        return via;
+    }
+
     /** CSeq's number, or -1 where there is none that can be read. */
     public long sequence() {
         String value = header("CSeq");
@@ -169,7 +183,12 @@
     }
 
     public String fromTag() {
-        return Params.of(header("From", "")).get("tag", "");
+        String text = header("From", "");
+        if (text != fromText) {
+            fromText = text;
+            fromTag = Params.of(text).get("tag", "");
+        }
+        return fromTag;
     }
 
     public String toTag() {
--- a/src/main/java/coralcove/sip/SipParser.java
+++ b/src/main/java/coralcove/sip/SipParser.java
@@ -19,11 +19,13 @@
             Map.entry("l", "Content-Length"), Map.entry("c", "Content-Type"), Map.entry("e", "Content-Encoding"),
             Map.entry("s", "Subject"), Map.entry("k", "Supported"), Map.entry("o", "Event"),
             Map.entry("u", "Allow-Events"));
-    private static final Map<String, String> FULL = Map.ofEntries(Map.entry("via", "Via"),
-            Map.entry("from", "From"), Map.entry("to", "To"), Map.entry("call-id", "Call-ID"),
-            Map.entry("cseq", "CSeq"), Map.entry("contact", "Contact"), Map.entry("route", "Route"),
-            Map.entry("record-route", "Record-Route"), Map.entry("content-length", "Content-Length"),
-            Map.entry("max-forwards", "Max-Forwards"), Map.entry("expires", "Expires"));
+    /** Names as this program writes them; a name read in any other case is written like this. */
+    private static final String[] KNOWN = {"Via", "From", "To", "Call-ID", "CSeq", "Contact", "Route", "Record-Route",
+        "Content-Length", "Max-Forwards", "Expires", "Content-Type", "Session-ID", "X-Service", "X-Far-End", "X-Origin",
+        "X-Time-Left", "Supported", "Session-Expires", "Min-SE", "Reason", "Retry-After", "Event"};
+    private static final String[][] BY_LENGTH = byLength();
+    private static final boolean[] TOKEN = tokens();
+
     private static final List<String> NEEDED = List.of("Via", "From", "To", "Call-ID", "CSeq");
 
     private SipParser() {}
@@ -119,16 +121,21 @@
                 folded.append(' ').append(head.substring(next, stop).strip());
                 next = stop + 2;
             }
-            String line = folded == null ? head.substring(at, end) : folded.toString();
-            int colon = line.indexOf(':');
-            String name = colon < 0 ? "" : line.substring(0, colon).strip();
-            if (!token(name)) {
-                return "header line: " + cut(line);
+            String line = folded == null ? head : folded.toString();
+            int from0 = folded == null ? at : 0;
+            int stop = folded == null ? end : line.length();
+            int colon = line.indexOf(':', from0);
+            int nameEnd = colon < 0 || colon >= stop ? -1 : colon;
+            while (nameEnd > from0 && (line.charAt(nameEnd - 1) == ' ' || line.charAt(nameEnd - 1) == '\t')) {
+                nameEnd--;
+            }
+            if (nameEnd < 0 || !token(line, from0, nameEnd)) {
+                return "header line: " + cut(line.substring(from0, stop));
             }
             if (message.fields().size() >= MOST_FIELDS) {
                 return "more than " + MOST_FIELDS + " header fields";
             }
-            add(message, full(name), line.substring(colon + 1).strip());
+            add(message, name(line, from0, nameEnd), trimmed(line, colon + 1, stop));
             at = next;
         }
         return null;
@@ -147,23 +154,65 @@
         }
     }
 
-    private static String full(String name) {
-        String lower = name.toLowerCase(Locale.ROOT);
-        String found = lower.length() == 1 ? COMPACT.get(lower) : FULL.get(lower);
-        return found == null ? name : found;
+    private static String trimmed(String line, int from, int to) {
+        int start = from;
+        int end = to;
+        while (start < end && line.charAt(start) <= ' ') {
+            start++;
+        }
+        while (end > start && line.charAt(end - 1) <= ' ') {
+            end--;
+        }
+        return line.substring(start, end);
     }
 
-    private static boolean token(String text) {
-        if (text.isEmpty()) {
-            return false;
+    /** The name in full form: one of the known, written out, or as it stands. */
+    private static String name(String line, int from, int to) {
+        int length = to - from;
+        if (length == 1) {
+            String name = line.substring(from, to);
+            return COMPACT.getOrDefault(name.toLowerCase(Locale.ROOT), name);
+        }
+        if (length < BY_LENGTH.length) {
+            for (String known : BY_LENGTH[length]) {
+                if (line.regionMatches(true, from, known, 0, length)) {
+                    return known;
+                }
+            }
+        }
+        return line.substring(from, to);
+    }
+
+    private static String[][] byLength() {
+        String[][] found = new String[20][];
+        for (int length = 0; length < found.length; length++) {
+            int wanted = length;
+            found[length] = java.util.Arrays.stream(KNOWN).filter(k -> k.length() == wanted).toArray(String[]::new);
         }
-        for (int i = 0; i < text.length(); i++) {
+        return found;
+    }
+
+    private static boolean[] tokens() {
+        boolean[] found = new boolean[128];
+        for (char c = 0; c < found.length; c++) {
+            found[c] = c >= 'a' && c <= 'z' || c >= 'A' && c <= 'Z' || c >= '0' && c <= '9'
+                    || "-.!%*_+`'~".indexOf(c) >= 0;
+        }
+        return found;
+    }
+
+    private static boolean token(String text) {
+        return token(text, 0, text.length());
+    }
+
+    private static boolean token(String text, int from, int to) {
+        for (int i = from; i < to; i++) {
             char c = text.charAt(i);
-            if (!(c >= 'a' && c <= 'z' || c >= 'A' && c <= 'Z' || c >= '0' && c <= '9' || "-.!%*_+`'~".indexOf(c) >= 0)) {
+            if (c >= TOKEN.length || !TOKEN[c]) {
                 return false;
             }
         }
-        return true;
+        return to > from;
     }
 
     private static String check(SipMessage message) {
@@ -180,8 +229,7 @@
         if (message.isRequest() && !cseq.substring(cseq.indexOf(' ') + 1).strip().equals(message.method())) {
             return "CSeq names another method: " + cut(cseq);
         }
-        Via via = Via.of(message.header("Via"));
-        if (via == null) {
+        if (message.via() == null) {
             return "Via: " + cut(message.header("Via"));
         }
         if (message.callId().isEmpty() || message.fromTag().isEmpty()) {
--- a/src/main/java/coralcove/sip/transaction/Transactions.java
+++ b/src/main/java/coralcove/sip/transaction/Transactions.java
@@ -154,7 +154,7 @@
     }
 
     private void response(long now, Hop from, SipMessage response, Out out) {
-        Via via = Via.of(response.header("Via"));
+        Via via = response.via();
         ClientTx tx = via == null ? null : clients.get(key(via.branch(), response.cseqMethod()));
         if (via != null && via.branch().startsWith(Via.COOKIE + seed + ONCE)) {
             return;
@@ -285,18 +285,21 @@
 
     /** Whether a request with this branch is in hand or was answered a while ago. */
     public boolean knows(SipMessage request) {
-        Via via = Via.of(request.header("Via"));
+        Via via = request.via();
         return servers.containsKey(key(via.branch() + "|" + via.host() + ":" + via.port(), request.method()));
     }
 
     private static Via stamped(SipMessage message, Hop from) {
         String text = message.header("Via");
-        Via via = Via.of(text);
-        String value = via.params().has("rport")
+        Via via = message.via();
+        int rport = text.indexOf(";rport;");
+        String value = rport >= 0
+                ? text.substring(0, rport) + ";rport=" + from.port() + ";received=" + from.host() + text.substring(rport + 6)
+                : via.params().has("rport")
                 ? text.replaceFirst(";\\s*rport(=[^;]*)?", ";rport=" + from.port() + ";received=" + from.host())
                 : via.host().equals(from.host()) ? text : text + ";received=" + from.host();
         message.set("Via", value);
-        return Via.of(value);
+        return message.via();
     }
 
     private void cancel(long now, ServerTx tx, ServerTx invite, Out out) {
--- a/src/main/java/coralcove/sip/transport/Sockets.java
+++ b/src/main/java/coralcove/sip/transport/Sockets.java
@@ -98,6 +98,14 @@
         }
     }
 
+    /** Closes the stream to this peer, if there is one: a fault for rehearsals. */
+    public void cut(Hop to) {
+        IoSession stream = streams.get(to);
+        if (stream != null) {
+            stream.closeOnFlush();
+        }
+    }
+
     private void write(IoSession stream, byte[] bytes) {
         if (stream.getScheduledWriteBytes() > MOST_WAITING) {
             listener.cutOff(hop(stream), "reads too slowly: " + stream.getScheduledWriteBytes() + " bytes wait");
