--- a/src/main/java/coralcove/sip/dialog/Agent.java
+++ b/src/main/java/coralcove/sip/dialog/Agent.java
@@ -79,6 +79,7 @@
     private final User user;
     private final String seed;
     private final Map<String, Call> calls = new HashMap<>();
+    private final Map<String, Call> incoming = new HashMap<>();
     private final TreeMap<String, Long> counters = new TreeMap<>();
     private long numbers;
     /** The Retry-After with which the request now being taken is turned away, or null. */
@@ -468,6 +469,7 @@
         timers.cancel(call.refresh);
         call.state = Call.State.ENDED;
         calls.remove(call.key(), call);
+        incoming.remove(call.invite.callId() + "|" + call.invite.fromTag(), call);
     }
 
     // ---- from the transactions
@@ -507,6 +509,12 @@
             refuse(now, tx, 400, "Contact is missing", out);
             return;
         }
+        String merged = invite.callId() + "|" + invite.fromTag();
+        if (incoming.containsKey(merged)) {
+            // RFC 3261 8.2.2.2, and a copy so late that its transaction is over: one call, not two.
+            refuse(now, tx, 482, "Loop Detected", out);
+            return;
+        }
         Call call = new Call(false, invite, seed + "t" + Long.toString(numbers++, 36));
         call.server = tx;
         tx.owner(call);
@@ -516,6 +524,7 @@
         call.remoteHop = firstHop(call, contact.hop());
         call.remoteSequence = invite.sequence();
         calls.put(call.key(), call);
+        incoming.put(merged, call);
         user.invited(now, call, from, out);
     }
 
