--- a/src/main/java/coralcove/sip/SipMessage.java
+++ b/src/main/java/coralcove/sip/SipMessage.java
@@ -208,7 +208,7 @@
             }
         }
         out.append("Content-Length: ").append(body.length).append("\r\n\r\n");
-        byte[] head = out.toString().getBytes(StandardCharsets.UTF_8);
+        byte[] head = out.toString().getBytes(StandardCharsets.ISO_8859_1);
         if (body.length == 0) {
             return head;
         }
--- a/src/main/java/coralcove/sip/SipParser.java
+++ b/src/main/java/coralcove/sip/SipParser.java
@@ -39,7 +39,8 @@
         if (end < 0) {
             throw new BadMessage("the header does not end", null);
         }
-        String head = new String(data, from, end - from, StandardCharsets.UTF_8);
+        // A char a byte: what is not looked at crosses unchanged, also where it is no UTF-8.
+        String head = new String(data, from, end - from, StandardCharsets.ISO_8859_1);
         int line = head.indexOf('\r');
         SipMessage message = startLine(line < 0 ? head : head.substring(0, line));
         String wrong = fields(head, line < 0 ? head.length() : line, message);
@@ -118,7 +119,7 @@
             while (next < head.length() && (head.charAt(next) == ' ' || head.charAt(next) == '\t')) {
                 int stop = head.indexOf("\r\n", next);
                 folded = folded == null ? new StringBuilder(head.substring(at, end)) : folded;
-                folded.append(' ').append(head.substring(next, stop).strip());
+                folded.append(' ').append(trimmed(head, next, stop));
                 next = stop + 2;
             }
             String line = folded == null ? head : folded.toString();
@@ -149,7 +150,7 @@
         int from = 0;
         while (from <= value.length() && message.fields().size() <= MOST_FIELDS) {
             int comma = Params.next(value, from, ',');
-            message.add(name, value.substring(from, comma).strip());
+            message.add(name, trimmed(value, from, comma));
             from = comma + 1;
         }
     }
@@ -157,10 +158,10 @@
     private static String trimmed(String line, int from, int to) {
         int start = from;
         int end = to;
-        while (start < end && line.charAt(start) <= ' ') {
+        while (start < end && (line.charAt(start) == ' ' || line.charAt(start) == '\t')) {
             start++;
         }
-        while (end > start && line.charAt(end - 1) <= ' ') {
+        while (end > start && (line.charAt(end - 1) == ' ' || line.charAt(end - 1) == '\t')) {
             end--;
         }
         return line.substring(start, end);
--- a/src/main/java/coralcove/sip/dialog/Agent.java
+++ b/src/main/java/coralcove/sip/dialog/Agent.java
@@ -61,6 +61,12 @@
         void replied(long now, ClientTx tx, SipMessage response, Out out);
     }
 
+    /** A BYE that is out: how many of its call were tried. */
+    private record Farewell(Call call, int tries) {}
+
+    /** BYEs of one call at most, where streams break under them; and the µs between two. */
+    private static final int MOST_BYES = 4;
+    private static final long BYE_AGAIN = 500_000;
     /** Early dialogs of one INVITE that are kept: more than any fork here makes. */
     static final int MOST_EARLY = 8;
     /** Seconds of the session interval asked for, and the least taken (RFC 4028 section 4). */
@@ -217,7 +223,15 @@
         if (reason != null) {
             bye.add("Reason", reason);
         }
-        transactions.send(now, bye, call.remoteHop, null, out);
+        transactions.send(now, bye, call.remoteHop, new Farewell(call, 1), out);
+    }
+
+    /** A BYE whose stream broke under it is sent again on a new one, as a request of its own. */
+    private void byeAgain(long now, Farewell last, Out out) {
+        if (last.tries < MOST_BYES) {
+            timers.set(now + BYE_AGAIN, (at, o) -> transactions.send(at, inDialog("BYE", last.call),
+                    last.call.remoteHop, new Farewell(last.call, last.tries + 1), o));
+        }
     }
 
     private SipMessage inDialog(String method, Call call) {
@@ -640,7 +654,11 @@
 
     @Override
     public void failed(long now, ClientTx tx, Transactions.Failure failure, Out out) {
-        if (tx.owner() instanceof Call changed && tx != changed.client) {
+        if (tx.owner() instanceof Farewell last) {
+            if (failure != Transactions.Failure.TIME_OUT) {
+                byeAgain(now, last, out);
+            }
+        } else if (tx.owner() instanceof Call changed && tx != changed.client) {
             changedBy(now, changed, tx, null, out);
         } else if (tx.owner() instanceof Call call && tx.request().method().equals("INVITE")) {
             if (call.state == Call.State.TRYING) {
--- a/src/main/java/coralcove/sip/transaction/ServerTx.java
+++ b/src/main/java/coralcove/sip/transaction/ServerTx.java
@@ -10,7 +10,7 @@
 
     final String key;
     final SipMessage request;
-    final Hop back;
+    Hop back;
     State state = State.PROCEEDING;
     SipMessage last;
     long gap;
--- a/src/main/java/coralcove/sip/transaction/Transactions.java
+++ b/src/main/java/coralcove/sip/transaction/Transactions.java
@@ -392,6 +392,15 @@
                 java.util.Comparator.comparing(t -> t.key)).toList()) {
             over(now, tx, refused ? Failure.REFUSED : Failure.BROKEN, out);
         }
+        // Responses on a broken connection go to the address in Via by a new one (RFC 3261 18.2.2).
+        for (ServerTx tx : servers.values().stream().filter(t -> t.back.equals(peer)).sorted(
+                java.util.Comparator.comparing(t -> t.key)).toList()) {
+            Via via = tx.request.via();
+            tx.back = new Hop(true, via.params().get("received", via.host()), via.port());
+            if (!tx.back.equals(peer) && tx.last != null && tx.last.status() >= 200) {
+                out.send(tx.back, tx.last);
+            }
+        }
     }
 
     private static String key(String branch, String method) {
--- a/src/test/java/coralcove/edge/EdgeCoreTest.java
+++ b/src/test/java/coralcove/edge/EdgeCoreTest.java
@@ -93,6 +93,25 @@
                 .note("idle " + desk.core.idle()).reads("edge-stopping");
     }
 
+    @Test
+    void answersOnceWhenTheAnswerAndTheTimeOutFallTogether() {
+        desk.module(Answer.send(101, 500_000), Answer.refuse(0)).call("a", 1, 3_000_000).answered(100).pass(500)
+                .note("in the same millisecond").answered(200).pass(400).reads("edge-same-moment");
+    }
+
+    @Test
+    void refusesASessionThatComesRoundAgain() {
+        desk.module(Answer.send(101, 900_000)).call("a", 1, 3_000_000);
+        desk.take(EdgeDesk.EXCHANGE, desk.invite("other", 2, 2_000_000, "X-Origin", "1", "Session-ID", "a"))
+                .reads("edge-loop");
+    }
+
+    @Test
+    void passesAChangeToTheOtherLegAndItsAnswerBack() {
+        desk.module(Answer.send(101, 900_000)).call("a", 1, 3_000_000).answered(200).pass(5).change("a").pass(5)
+                .answered(200).reads("edge-change");
+    }
+
     @Test
     void turnsAwayWhatItCannotHold() {
         for (int i = 0; i < 5; i++) {
--- a/src/test/java/coralcove/edge/EdgeDesk.java
+++ b/src/test/java/coralcove/edge/EdgeDesk.java
@@ -35,7 +35,9 @@
     private final Map<String, SipMessage> invites = new HashMap<>();
     private boolean subscribe = true;
     private SipMessage lastInvite;
+    private Hop lastInviteTo = EXCHANGE;
     private SipMessage lastOut;
+    private SipMessage firstOk;
     private long now = 1_000_000;
     private int ids;
 
@@ -114,6 +116,11 @@
         return take(EXCHANGE, cancel);
     }
 
+    EdgeDesk change(String call) {
+        return take(EXCHANGE, request("INVITE", call, 2).set("Via", "SIP/2.0/UDP x:2;branch=z9hG4bKchange")
+                .set("To", firstOk.header("To")).body("application/sdp", "v=0".getBytes(StandardCharsets.UTF_8)));
+    }
+
     EdgeDesk bye(String call, String... extra) {
         SipMessage bye = request("BYE", call, 2).set("To", lastOut.header("To"));
         for (int i = 0; i < extra.length; i += 2) {
@@ -128,7 +135,7 @@
         for (int i = 0; i < extra.length; i += 2) {
             reply.add(extra[i], extra[i + 1]);
         }
-        return take(EXCHANGE, reply);
+        return take(lastInviteTo, reply);
     }
 
     EdgeDesk note(String text) {
@@ -146,9 +153,11 @@
         line.append(message.isRequest() ? message.method() : message.status() + " to " + message.cseqMethod());
         if (message.isRequest() && message.method().equals("INVITE")) {
             lastInvite = message;
+            lastInviteTo = to;
             line.append(" call ").append(message.callId());
         } else if (!message.isRequest()) {
             lastOut = message;
+            firstOk = firstOk == null && message.status() == 200 && message.cseqMethod().equals("INVITE") ? message : firstOk;
         }
         for (String name : List.of("Route", "X-Origin", "X-Time-Left", "Max-Forwards", "Reason", "Retry-After",
                 "X-Circuits", "Warning", "Event")) {
--- a/src/test/java/coralcove/network/LiveNetworkTest.java
+++ b/src/test/java/coralcove/network/LiveNetworkTest.java
@@ -180,6 +180,43 @@
         }
     }
 
+    /** A peer that never reads, one that resets and one that closes its half: each is cut off, and others are served. */
+    @Test
+    void aBadPeerIsCutOffAndOthersAreServed() throws Exception {
+        Hop here = new Hop(true, "127.0.0.1", freePort());
+        Phone phone = new Phone(here, null, "a");
+        network.add("phone", here, phone, false);
+        String options = "OPTIONS sip:a@b SIP/2.0\r\nVia: SIP/2.0/TCP 127.0.0.1:9;rport;branch=z9hG4bK%d\r\n"
+                + "From: <sip:a>;tag=1\r\nTo: <sip:b>\r\nCall-ID: c%d\r\nCSeq: 1 OPTIONS\r\nContent-Length: 0\r\n\r\n";
+        Socket reset = new Socket("127.0.0.1", here.port());
+        reset.setSoLinger(true, 0);
+        reset.getOutputStream().write(options.substring(0, 40).getBytes(StandardCharsets.US_ASCII));
+        reset.close();
+        try (Socket deaf = new Socket(); Socket half = new Socket("127.0.0.1", here.port())) {
+            deaf.setReceiveBufferSize(4096);
+            deaf.connect(new java.net.InetSocketAddress("127.0.0.1", here.port()));
+            half.getOutputStream().write(String.format(options, -1, -1).getBytes(StandardCharsets.US_ASCII));
+            half.shutdownOutput();
+            byte[] first = new byte[11];
+            half.getInputStream().readNBytes(first, 0, first.length);
+            OutputStream out = deaf.getOutputStream();
+            boolean cut = false;
+            try {
+                // Far more answers than are let wait: at some point the stream is closed under the writer.
+                for (int i = 0; i < 400_000 && !cut; i++) {
+                    out.write(String.format(options, i, i).getBytes(StandardCharsets.US_ASCII));
+                }
+            } catch (IOException e) {
+                cut = true;
+            }
+            assertThat(cut).isTrue();
+        }
+        Hop other = new Hop(true, "127.0.0.1", freePort());
+        Phone caller = new Phone(other, here, "c");
+        network.add("caller", other, caller, false);
+        caller.sees("ringing", "answered");
+    }
+
     @Test
     void namesThePortThatIsInUse() throws Exception {
         try (ServerSocket taken = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
--- /dev/null
+++ b/src/test/java/coralcove/sip/TortureTest.java
@@ -0,0 +1,116 @@
+package coralcove.sip;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import coralcove.sip.dialog.Agent;
+import coralcove.sip.dialog.Call;
+import coralcove.sip.transaction.ClientTx;
+import coralcove.sip.transaction.ServerTx;
+import java.io.IOException;
+import java.io.InputStream;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.DynamicTest;
+import org.junit.jupiter.api.TestFactory;
+
+/** Malformed and odd but legal messages in the manner of RFC 4475, each with the verdict it must get. */
+class TortureTest implements Out, Agent.User {
+    private final List<String> sent = new ArrayList<>();
+
+    @TestFactory
+    List<DynamicTest> eachGetsItsVerdict() throws IOException {
+        List<DynamicTest> tests = new ArrayList<>();
+        try (InputStream in = TortureTest.class.getResourceAsStream("/sip/torture.txt")) {
+            String all = new String(in.readAllBytes(), StandardCharsets.UTF_8);
+            for (String each : all.split("(?m)^=== ")) {
+                if (!each.isBlank()) {
+                    int line = each.indexOf('\n');
+                    String[] title = each.substring(0, line).split(" \\| ");
+                    tests.add(DynamicTest.dynamicTest(title[0], () -> check(title[1], each.substring(line + 1))));
+                }
+            }
+        }
+        assertThat(tests).hasSizeGreaterThanOrEqualTo(60);
+        return tests;
+    }
+
+    static byte[] wire(String text) {
+        int body = text.indexOf("\n\n");
+        String head = body < 0 ? text : text.substring(0, body + 1);
+        String rest = body < 0 ? "" : text.substring(body + 2, text.length() - 1);
+        return (head.replace("\n", "\r\n") + "\r\n" + rest).getBytes(StandardCharsets.UTF_8);
+    }
+
+    private void check(String verdict, String text) {
+        byte[] bytes = wire(text);
+        sent.clear();
+        Agent agent = new Agent(new Hop(false, "h", 1), new Timers(), "s", this);
+        String found;
+        try {
+            SipMessage message = SipParser.parse(bytes, 0, bytes.length);
+            found = "good";
+            // What is good is written and read again without a loss.
+            byte[] again = message.bytes();
+            SipMessage second = SipParser.parse(again, 0, again.length);
+            assertThat(second.bytes()).isEqualTo(again);
+            assertThat(second.body()).isEqualTo(message.body());
+        } catch (BadMessage e) {
+            agent.malformed(0, new Hop(false, "h", 2), e, this);
+            found = sent.isEmpty() ? e.partial() == null || e.partial().header("Via") == null
+                    || Via.of(e.partial().header("Via")) == null || !e.partial().isRequest() ? "drop" : "400-short"
+                    : String.join(",", sent);
+        }
+        assertThat(found).isEqualTo(verdict);
+    }
+
+    @Override
+    public void send(Hop to, SipMessage message) {
+        sent.add(Integer.toString(message.status()));
+    }
+
+    @Override
+    public void log(String event, String session, String detail) {
+        // The verdict tells.
+    }
+
+    @Override
+    public void invited(long now, Call call, Hop from, Out out) {
+        throw new IllegalStateException();
+    }
+
+    @Override
+    public void progressed(long now, Call call, SipMessage response, Out out) {
+        throw new IllegalStateException();
+    }
+
+    @Override
+    public void answered(long now, Call call, SipMessage response, Out out) {
+        throw new IllegalStateException();
+    }
+
+    @Override
+    public void rejected(long now, Call call, SipMessage response, Agent.Lost lost, Out out) {
+        throw new IllegalStateException();
+    }
+
+    @Override
+    public void cancelled(long now, Call call, Out out) {
+        throw new IllegalStateException();
+    }
+
+    @Override
+    public void hungUp(long now, Call call, SipMessage bye, Out out) {
+        throw new IllegalStateException();
+    }
+
+    @Override
+    public void request(long now, ServerTx tx, Hop from, Out out) {
+        throw new IllegalStateException();
+    }
+
+    @Override
+    public void replied(long now, ClientTx tx, SipMessage response, Out out) {
+        throw new IllegalStateException();
+    }
+}
