Give a session's headers and the table of outcomes a package of their own below the edge

The stand-in exchange and the judge reached into the call router's package for the protocol's mapping, sideways to the layout. coralcove.protocol holds it now, below all three.

--- a/src/main/java/coralcove/edge/EdgeCore.java
+++ b/src/main/java/coralcove/edge/EdgeCore.java
@@ -8,6 +8,8 @@
 import coralcove.Exchange.Phase;
 import coralcove.Session;
 import coralcove.Waiting;
+import coralcove.protocol.CallHeaders;
+import coralcove.protocol.Outcomes;
 import coralcove.sip.BadMessage;
 import coralcove.sip.Core;
 import coralcove.sip.Hop;
--- a/src/main/java/coralcove/exchange/ExchangeCore.java
+++ b/src/main/java/coralcove/exchange/ExchangeCore.java
@@ -1,7 +1,7 @@
 package coralcove.exchange;
 
-import coralcove.edge.CallHeaders;
-import coralcove.edge.Outcomes;
+import coralcove.protocol.CallHeaders;
+import coralcove.protocol.Outcomes;
 import coralcove.sip.BadMessage;
 import coralcove.sip.Core;
 import coralcove.sip.Hop;
--- a/src/main/java/coralcove/judge/Judge.java
+++ b/src/main/java/coralcove/judge/Judge.java
@@ -1,7 +1,7 @@
 package coralcove.judge;
 
-import coralcove.edge.CallHeaders;
-import coralcove.edge.Outcomes;
+import coralcove.protocol.CallHeaders;
+import coralcove.protocol.Outcomes;
 import coralcove.network.Network;
 import coralcove.sip.BadMessage;
 import coralcove.sip.Hop;
--- a/src/main/java/coralcove/edge/CallHeaders.java
+++ b/src/main/java/coralcove/protocol/CallHeaders.java
@@ -1,4 +1,4 @@
-package coralcove.edge;
+package coralcove.protocol;
 
 import coralcove.sip.Field;
 import coralcove.sip.Params;
--- a/src/main/java/coralcove/edge/Outcomes.java
+++ b/src/main/java/coralcove/protocol/Outcomes.java
@@ -1,4 +1,4 @@
-package coralcove.edge;
+package coralcove.protocol;
 
 import coralcove.Cause;
 import coralcove.Ending;
--- a/src/test/java/coralcove/edge/EdgeCoreTest.java
+++ b/src/test/java/coralcove/edge/EdgeCoreTest.java
@@ -3,6 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import coralcove.Answer;
+import coralcove.protocol.Outcomes;
 import coralcove.sip.SipMessage;
 import org.junit.jupiter.api.Test;
 
--- a/src/test/java/coralcove/judge/JudgeTest.java
+++ b/src/test/java/coralcove/judge/JudgeTest.java
@@ -2,7 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
-import coralcove.edge.Outcomes;
+import coralcove.protocol.Outcomes;
 import coralcove.sip.Hop;
 import coralcove.sip.SipMessage;
 import java.nio.charset.StandardCharsets;
