Read each captured message once, size a request without writing it, and drop dead state

The virtual network parsed each captured message twice, and each request over UDP was written once only to be measured. Early tags, two flags and the directory's phase were kept and never needed. A caller's service is drawn as its place: two services of equal share and hold were taken for the first.

--- a/src/main/java/coralcove/directory/DirectoryCore.java
+++ b/src/main/java/coralcove/directory/DirectoryCore.java
@@ -30,7 +30,6 @@
     private static final class Entry {
         String line = "";
         String told = "";
-        String phase = "";
         long heard;
     }
 
@@ -52,10 +51,6 @@
         return agent;
     }
 
-    public Hop self() {
-        return self;
-    }
-
     @Override
     public void start(long now, Out out) {
         out.log("directory", "", self.toString());
@@ -114,7 +109,6 @@
         entry.heard = now;
         if (!line.equals(entry.line)) {
             entry.line = line;
-            entry.phase = parts[2];
             // The network's first lists are there from the start; what starts later is news, and late.
             long wait = first && parts[3].equals("0") ? 0 : parts[2].equals("ready") ? late.add : late.notice;
             timers.set(now + wait, (at, o) -> tell(at, id, line, o));
@@ -124,14 +118,17 @@
 
     private void silent(long now, long id, Out out) {
         Entry entry = entries.get(id);
-        if (now - entry.heard >= late.silence && !entry.phase.equals("gone")) {
+        if (now - entry.heard >= late.silence && !gone(entry.line)) {
             String[] parts = entry.line.split(" ");
-            entry.phase = "gone";
             entry.line = parts[0] + " " + parts[1] + " gone " + parts[3] + " " + parts[4];
             tell(now, id, entry.line, out);
         }
     }
 
+    private static boolean gone(String line) {
+        return line.contains(" gone ");
+    }
+
     private void tell(long now, long id, String line, Out out) {
         Entry entry = entries.get(id);
         if (line.equals(entry.told)) {
@@ -153,7 +150,7 @@
         agent.respond(now, tx, agent.reply(tx, 200, "OK").add("Expires", tx.request().header("Expires", "60")), out);
         watchers.put(contact.hop().toString(), contact.hop());
         StringBuilder body = new StringBuilder("version " + version + " full\n");
-        entries.values().stream().filter(e -> !e.told.isEmpty() && !e.told.contains(" gone "))
+        entries.values().stream().filter(e -> !e.told.isEmpty() && !gone(e.told))
                 .forEach(e -> body.append(e.told).append('\n'));
         notify(now, contact.hop(), body.toString(), out);
     }
--- a/src/main/java/coralcove/edge/EdgeCore.java
+++ b/src/main/java/coralcove/edge/EdgeCore.java
@@ -50,7 +50,6 @@
         Timers.Timer later;
         Cause last = Cause.NONE;
         boolean answered;
-        boolean stands;
         boolean circuitsIn;
 
         Held(long id, Call in, CallHeaders headers, Session session) {
@@ -280,8 +279,7 @@
 
     private SipMessage outgoing(Held held, long left) {
         SipMessage invite = agent.request("INVITE", SipUri.text(held.headers.number(), settings.exchange()));
-        int hops = (int) Params.of("x;n=" + held.in.invite().header("Max-Forwards", "70")).number("n", 70);
-        invite.set("Max-Forwards", Integer.toString(hops - 1));
+        invite.set("Max-Forwards", Long.toString(held.in.invite().number("Max-Forwards", 70) - 1));
         CallHeaders.pass(held.in.invite(), invite);
         return CallHeaders.write(invite, held.headers, held.headers.origin(), left, held.in.sessionId());
     }
@@ -405,7 +403,6 @@
         Held held = leg.held;
         timers.cancel(leg.limit);
         held.answered = true;
-        held.stands = true;
         unanswered--;
         out.log("stands", held.in.sessionId(), (now - leg.sentAt) / 1000 + " ms");
         agent.answer(now, held.in, response, out);
@@ -422,7 +419,7 @@
         release(now, leg);
         if (response != null && response.header("X-Circuits") != null) {
             // After the release: the far end does not count the INVITE that it refused.
-            trunks.told(now, leg.number, (int) Params.of("x;n=" + response.header("X-Circuits")).number("n", 0));
+            trunks.told(now, leg.number, (int) response.number("X-Circuits", 0));
             if (trunks.doubtEnds(now, leg.number) < Long.MAX_VALUE) {
                 timers.set(trunks.doubtEnds(now, leg.number), (at, o) -> circuits(at, leg.number));
             }
@@ -569,8 +566,7 @@
             case "NOTIFY" -> notified(now, tx, out);
             case "MESSAGE" -> {
                 if (request.body().length <= LONGEST_NEWS) {
-                    long rank = Params.of("x;n=" + request.header("X-Number", "-1")).number("n", -1);
-                    router.peer(now, (int) rank, request.body());
+                    router.peer(now, (int) request.number("X-Number", -1), request.body());
                 } else {
                     agent.count("long-news");
                 }
--- a/src/main/java/coralcove/exchange/ExchangeCore.java
+++ b/src/main/java/coralcove/exchange/ExchangeCore.java
@@ -318,8 +318,7 @@
             return;
         }
         SipMessage invite = agent.request("INVITE", SipUri.text(headers.number(), route.hop()));
-        long hops = coralcove.sip.Params.of("x;n=" + call.invite().header("Max-Forwards", "70")).number("n", 70);
-        invite.set("Max-Forwards", Long.toString(hops - 1));
+        invite.set("Max-Forwards", Long.toString(call.invite().number("Max-Forwards", 70) - 1));
         CallHeaders.pass(call.invite(), invite);
         CallHeaders.write(invite, headers, settings.number(), Math.max(0, headers.left() - waited), call.sessionId());
         Relay relay = new Relay(call, route.user().matches("\\d{1,5}") ? Integer.parseInt(route.user()) : -1);
--- a/src/main/java/coralcove/judge/Judge.java
+++ b/src/main/java/coralcove/judge/Judge.java
@@ -21,7 +21,7 @@
  * Judges the five rules from captured traffic alone: each message that a call router read or wrote, with its time.
  * Call routers are the nodes named {@code edge-N}; {@link #killed} and the end of the capture close what is open.
  */
-public class Judge implements Network.Tap {
+public final class Judge implements Network.Tap, Witness {
     /** Services a header may name; the judge holds no settings of the routers. */
     private static final int SERVICES = 1000;
 
@@ -104,19 +104,24 @@
         return verdicts;
     }
 
-    /** Messages that were captured and could not be read; a router's own are never among them. */
-    public long unreadable() {
+    /** A captured message could not be read; a router's own are never among them. */
+    public void unreadable() {
+        unreadable++;
+    }
+
+    /** How many could not. */
+    public long unreadables() {
         return unreadable;
     }
 
-    /** A call router was killed: what it held is no longer its duty. */
+    @Override
     public void killed(String node) {
         bySession.values().removeIf(seen -> seen.node.equals(node));
         byCall.values().removeIf(seen -> seen.node.equals(node));
         lists.remove(node);
     }
 
-    /** A processor started cold at {@code since}, as its registration tells. */
+    @Override
     public void started(int number, long since) {
         starts.put(number, since);
         cold.remove(number);
@@ -128,7 +133,7 @@
         try {
             message = SipParser.parse(bytes, 0, bytes.length);
         } catch (BadMessage e) {
-            unreadable++;
+            unreadable();
             return;
         }
         read(now, node, out, peer, message);
--- a/src/main/java/coralcove/rehearsal/InOrder.java
+++ b/src/main/java/coralcove/rehearsal/InOrder.java
@@ -1,12 +1,9 @@
 package coralcove.rehearsal;
 
-import coralcove.judge.Judge;
+import coralcove.judge.Witness;
 import coralcove.network.LiveNetwork;
 import coralcove.network.Network;
-import coralcove.sip.BadMessage;
 import coralcove.sip.Hop;
-import coralcove.sip.SipMessage;
-import coralcove.sip.SipParser;
 import java.util.PriorityQueue;
 import java.util.concurrent.ConcurrentLinkedQueue;
 
@@ -14,16 +11,15 @@
  * Hears a live capture from many threads and passes it on from one, in order of time: what is older than
  * {@link #BEHIND} has no earlier message still to come.
  */
-final class InOrder implements Network.Tap, AutoCloseable {
+final class InOrder implements Network.Tap, Witness, AutoCloseable {
     /** µs: longer than a thread is kept from handing on what it has stamped, on a loaded machine. */
     private static final long BEHIND = 2_000_000;
 
     private record Seen(long at, long order, String node, boolean out, Hop peer, byte[] bytes, boolean refused,
             Runnable mark) {}
 
-    private final Judge judge;
-    private final Meter meter;
-    private final Rehearse.Capture file;
+    private final Network.Tap audience;
+    private final Witness judge;
     private final ConcurrentLinkedQueue<Seen> incoming = new ConcurrentLinkedQueue<>();
     private final PriorityQueue<Seen> waiting = new PriorityQueue<>((a, b) -> a.at != b.at ? Long.compare(a.at, b.at)
             : Long.compare(a.order, b.order));
@@ -33,10 +29,9 @@
     private long last;
     private long outOfOrder;
 
-    InOrder(Judge judge, Meter meter, Rehearse.Capture file) {
+    InOrder(Network.Tap audience, Witness judge) {
+        this.audience = audience;
         this.judge = judge;
-        this.meter = meter;
-        this.file = file;
         thread.start();
     }
 
@@ -50,8 +45,18 @@
         incoming.add(new Seen(now, 0, node, false, peer, null, refused, null));
     }
 
+    @Override
+    public void killed(String node) {
+        mark(LiveNetwork.clock(), () -> judge.killed(node));
+    }
+
+    @Override
+    public void started(int number, long since) {
+        mark(since, () -> judge.started(number, since));
+    }
+
     /** Something that happens to the judge itself at this place in the order. */
-    void mark(long at, Runnable mark) {
+    private void mark(long at, Runnable mark) {
         incoming.add(new Seen(at, 0, "", false, null, null, false, mark));
     }
 
@@ -84,17 +89,9 @@
         if (seen.mark != null) {
             seen.mark.run();
         } else if (seen.bytes == null) {
-            judge.broken(seen.at, seen.node, seen.peer, seen.refused);
-            file.broken(seen.at, seen.node, seen.peer, seen.refused);
+            audience.broken(seen.at, seen.node, seen.peer, seen.refused);
         } else {
-            try {
-                SipMessage message = SipParser.parse(seen.bytes, 0, seen.bytes.length);
-                judge.read(seen.at, seen.node, seen.out, seen.peer, message);
-                meter.read(seen.at, seen.node, seen.out, message);
-            } catch (BadMessage e) {
-                judge.message(seen.at, seen.node, seen.out, seen.peer, seen.bytes);
-            }
-            file.message(seen.at, seen.node, seen.out, seen.peer, seen.bytes);
+            audience.message(seen.at, seen.node, seen.out, seen.peer, seen.bytes);
         }
     }
 
--- a/src/main/java/coralcove/rehearsal/Meter.java
+++ b/src/main/java/coralcove/rehearsal/Meter.java
@@ -1,10 +1,6 @@
 package coralcove.rehearsal;
 
-import coralcove.network.Network;
-import coralcove.sip.BadMessage;
-import coralcove.sip.Hop;
 import coralcove.sip.SipMessage;
-import coralcove.sip.SipParser;
 import java.util.HashMap;
 import java.util.Map;
 import org.HdrHistogram.Histogram;
@@ -13,7 +9,7 @@
  * The set-up delay that a router adds, from its captured traffic: from reading an INVITE to writing the first one
  * for it, and from reading its 200 to writing the 200 back. Only sessions that needed one INVITE count.
  */
-final class Meter implements Network.Tap {
+final class Meter {
     private static final class Way {
         long in;
         long out;
@@ -24,22 +20,6 @@
     private final Map<String, Way> ways = new HashMap<>();
     final Histogram added = new Histogram(60_000_000, 3);
 
-    @Override
-    public void broken(long now, String node, Hop peer, boolean refused) {
-        // A session that this ended did not stand, and does not count.
-    }
-
-    @Override
-    public void message(long now, String node, boolean out, Hop peer, byte[] bytes) {
-        SipMessage message;
-        try {
-            message = SipParser.parse(bytes, 0, bytes.length);
-        } catch (BadMessage e) {
-            return;
-        }
-        read(now, node, out, message);
-    }
-
     void read(long now, String node, boolean out, SipMessage message) {
         String session = message.header("Session-ID");
         if (session == null || !message.cseqMethod().equals("INVITE")) {
--- a/src/main/java/coralcove/rehearsal/Rehearsal.java
+++ b/src/main/java/coralcove/rehearsal/Rehearsal.java
@@ -11,7 +11,7 @@
 import coralcove.exchange.ExchangeCore;
 import coralcove.exchange.ExchangeSettings;
 import coralcove.exchange.Stats;
-import coralcove.judge.Judge;
+import coralcove.judge.Witness;
 import coralcove.network.Network;
 import coralcove.sip.Hop;
 import coralcove.sip.Out;
@@ -37,20 +37,20 @@
     private final String policy;
     private final Network network;
     private final int firstPort;
-    private final Judge judge;
+    private final Witness witness;
     private final Stats[] stats;
     private final Map<String, ExchangeCore> exchanges = new HashMap<>();
     private final long[] ids;
     private int starts;
     private long zero;
 
-    public Rehearsal(Day day, long seed, String policy, Network network, int firstPort, Judge judge) {
+    public Rehearsal(Day day, long seed, String policy, Network network, int firstPort, Witness witness) {
         this.day = day;
         this.seed = seed;
         this.policy = policy;
         this.network = network;
         this.firstPort = firstPort;
-        this.judge = judge;
+        this.witness = witness;
         stats = new Stats[day.exchanges()];
         ids = new long[day.exchanges()];
     }
@@ -100,7 +100,6 @@
         }
         day.troubles().forEach(this::schedule);
         network.run(zero + day.length() + TAIL);
-        judge.end(network.now());
         Stats all = new Stats();
         for (Stats each : stats) {
             all.add(each);
@@ -144,7 +143,7 @@
         ExchangeCore core = new ExchangeCore(settings, arrivals, stats[number]);
         exchanges.put("exchange-" + number, core);
         if (since > 0) {
-            judge.started(number, since);
+            witness.started(number, since);
         }
         network.add("exchange-" + number, exchange(number), core, false);
     }
@@ -219,7 +218,7 @@
             case "router-death" -> {
                 network.at(zero + at, () -> {
                     network.kill("edge-" + number);
-                    judge.killed("edge-" + number);
+                    witness.killed("edge-" + number);
                 });
                 network.at(zero + end, () -> addEdge(number));
             }
--- a/src/main/java/coralcove/rehearsal/Rehearse.java
+++ b/src/main/java/coralcove/rehearsal/Rehearse.java
@@ -5,7 +5,10 @@
 import coralcove.network.LiveNetwork;
 import coralcove.network.Network;
 import coralcove.network.VirtualNetwork;
+import coralcove.sip.BadMessage;
 import coralcove.sip.Hop;
+import coralcove.sip.SipMessage;
+import coralcove.sip.SipParser;
 import java.io.BufferedWriter;
 import java.io.IOException;
 import java.io.UncheckedIOException;
@@ -25,20 +28,24 @@
     private static final int FIRST_PORT = 20_000;
     private static final int LAST_PORT = 32_000;
 
-    /** All that listen to one capture. */
-    private record Taps(Network.Tap... taps) implements Network.Tap {
+    /** All that listen to one capture; each message is read once for all of them. */
+    private record Audience(Judge judge, Meter meter, Capture file) implements Network.Tap {
         @Override
         public void message(long now, String node, boolean out, Hop peer, byte[] bytes) {
-            for (Network.Tap tap : taps) {
-                tap.message(now, node, out, peer, bytes);
+            try {
+                SipMessage message = SipParser.parse(bytes, 0, bytes.length);
+                judge.read(now, node, out, peer, message);
+                meter.read(now, node, out, message);
+            } catch (BadMessage e) {
+                judge.unreadable();
             }
+            file.message(now, node, out, peer, bytes);
         }
 
         @Override
         public void broken(long now, String node, Hop peer, boolean refused) {
-            for (Network.Tap tap : taps) {
-                tap.broken(now, node, peer, refused);
-            }
+            judge.broken(now, node, peer, refused);
+            file.broken(now, node, peer, refused);
         }
     }
 
@@ -56,8 +63,9 @@
                 zones.put("exchange-" + i, day.zones()[i]);
             }
             Network network = new VirtualNetwork(VIRTUAL_START, seed, day.weather(), zones,
-                    new Taps(judge, meter, file), log);
+                    new Audience(judge, meter, file), log);
             Stats stats = new Rehearsal(day, seed, policy, network, FIRST_PORT, judge).play();
+            judge.end(network.now());
             return result(day, seed, policy, true, stats, meter, judge);
         }
     }
@@ -71,21 +79,10 @@
         Meter meter = new Meter();
         Stats stats;
         try (Capture file = Capture.to(capture)) {
-            InOrder order = new InOrder(judge, meter, file);
+            InOrder order = new InOrder(new Audience(judge, meter, file), judge);
             LiveNetwork network = new LiveNetwork(order, day.weather(), seed);
-            Judge late = new Judge(day.rules()) {
-                @Override
-                public void killed(String node) {
-                    order.mark(LiveNetwork.clock(), () -> judge.killed(node));
-                }
-
-                @Override
-                public void started(int number, long since) {
-                    order.mark(since, () -> judge.started(number, since));
-                }
-            };
             try {
-                stats = new Rehearsal(day, seed, policy, network, freePorts(Rehearsal.ports(day)), late).play();
+                stats = new Rehearsal(day, seed, policy, network, freePorts(Rehearsal.ports(day)), order).play();
             } finally {
                 network.close();
                 order.close();
--- a/src/main/java/coralcove/rehearsal/Traffic.java
+++ b/src/main/java/coralcove/rehearsal/Traffic.java
@@ -16,6 +16,7 @@
     private final RandomGenerator chance;
     private final double[][] pull;
     private final List<Mix> mix;
+    private final double[] shares;
     private final List<Trouble> troubles;
     private final long length;
     private final long driftEvery;
@@ -26,6 +27,7 @@
         this.chance = chance;
         this.pull = pull;
         this.mix = mix;
+        shares = mix.stream().mapToDouble(Mix::share).toArray();
         this.troubles = troubles;
         this.length = length;
         this.driftEvery = driftEvery;
@@ -69,9 +71,8 @@
                 weights = drift(pull[here]);
             }
             if (chance.nextDouble() * top <= rate(here, rate, all, at)) {
-                Mix found = mix.get(pick(shares()));
-                int service = mix.indexOf(found);
-                long hold = Math.max(1, Math.round(-Math.log(1 - chance.nextDouble()) * found.hold));
+                int service = pick(shares);
+                long hold = Math.max(1, Math.round(-Math.log(1 - chance.nextDouble()) * mix.get(service).hold));
                 list.add(new Arrival(at, service, pick(weights), 100 + chance.nextInt(900_000), hold));
             }
         }
@@ -110,10 +111,6 @@
         return Math.exp(Math.sqrt(variance) * chance.nextGaussian() - variance / 2);
     }
 
-    private double[] shares() {
-        return mix.stream().mapToDouble(Mix::share).toArray();
-    }
-
     private int pick(double[] weights) {
         double sum = 0;
         for (double weight : weights) {
--- a/src/main/java/coralcove/sip/SipMessage.java
+++ b/src/main/java/coralcove/sip/SipMessage.java
@@ -128,16 +128,6 @@
         return add(name, value);
     }
 
-    public SipMessage removeFirst(String name) {
-        for (int i = 0; i < fields.size(); i++) {
-            if (fields.get(i).name().equalsIgnoreCase(name)) {
-                fields.remove(i);
-                return this;
-            }
-        }
-        return this;
-    }
-
     public SipMessage body(String type, byte[] bytes) {
         set("Content-Type", type);
         body = bytes;
@@ -158,6 +148,21 @@
         return via;
     }
 
+    /** Whether it has all that a response copies, so that even a bad request can be answered. */
+    public boolean answerable() {
+        return SipParser.NEEDED.stream().allMatch(name -> header(name) != null) && via() != null;
+    }
+
+    /** A header's value as a whole number, {@code otherwise} where it is absent or none. */
+    public long number(String name, long otherwise) {
+        try {
+            String value = header(name);
+            return value == null ? otherwise : Long.parseLong(value);
+        } catch (NumberFormatException e) {
+            return otherwise;
+        }
+    }
+
     /** CSeq's number, or -1 where there is none that can be read. */
     public long sequence() {
         String value = header("CSeq");
@@ -195,6 +200,15 @@
         return Params.of(header("To", "")).get("tag", "");
     }
 
+    /** The length of {@link #bytes}, without writing them. */
+    public int length() {
+        int length = isRequest() ? method.length() + uri.length() + 11 : 14 + reason.length();
+        for (Field field : fields) {
+            length += field.name().equals("Content-Length") ? 0 : field.name().length() + field.value().length() + 4;
+        }
+        return length + "Content-Length: ".length() + Integer.toString(body.length).length() + 4 + body.length;
+    }
+
     public byte[] bytes() {
         StringBuilder out = new StringBuilder(512);
         if (isRequest()) {
--- a/src/main/java/coralcove/sip/SipParser.java
+++ b/src/main/java/coralcove/sip/SipParser.java
@@ -26,7 +26,7 @@
     private static final String[][] BY_LENGTH = byLength();
     private static final boolean[] TOKEN = tokens();
 
-    private static final List<String> NEEDED = List.of("Via", "From", "To", "Call-ID", "CSeq");
+    static final List<String> NEEDED = List.of("Via", "From", "To", "Call-ID", "CSeq");
 
     private SipParser() {}
 
--- a/src/main/java/coralcove/sip/dialog/Agent.java
+++ b/src/main/java/coralcove/sip/dialog/Agent.java
@@ -67,8 +67,6 @@
     /** BYEs of one call at most, where streams break under them; and the µs between two. */
     private static final int MOST_BYES = 4;
     private static final long BYE_AGAIN = 500_000;
-    /** Early dialogs of one INVITE that are kept: more than any fork here makes. */
-    static final int MOST_EARLY = 8;
     /** Seconds of the session interval asked for, and the least taken (RFC 4028 section 4). */
     private static final int INTERVAL = 90;
     /** µs before its end at which a session that was not refreshed is ended: a third, 32 s at most (RFC 4028 10). */
@@ -126,11 +124,7 @@
         SipMessage partial = problem.partial();
         count("malformed");
         out.log("malformed", "", from + ": " + problem.getMessage());
-        boolean possible = partial != null && partial.isRequest() && !partial.method().equals("ACK")
-                && partial.header("Via") != null && Via.of(partial.header("Via")) != null
-                && partial.header("From") != null && partial.header("To") != null
-                && partial.header("Call-ID") != null && partial.header("CSeq") != null;
-        if (possible) {
+        if (partial != null && partial.isRequest() && !partial.method().equals("ACK") && partial.answerable()) {
             out.send(from, SipMessage.reply(partial, 400, "Bad Request", "m"));
         }
     }
@@ -187,7 +181,7 @@
     }
 
     private static Hop fitting(SipMessage request, Hop to) {
-        return to.tcp() || request.bytes().length + VIA_BYTES <= LONGEST_DATAGRAM ? to : to.over(true);
+        return to.tcp() || request.length() + VIA_BYTES <= LONGEST_DATAGRAM ? to : to.over(true);
     }
 
     /**
@@ -256,6 +250,12 @@
         return request;
     }
 
+    /** The ACK of a 2xx: a request of its own, outside any transaction (RFC 3261 13.2.2.4). */
+    private SipMessage ack(Call call, long sequence) {
+        return dialogRequest("ACK", call, sequence).addFirst("Via",
+                Via.text(self.over(call.remoteHop.tcp()), Via.COOKIE + seed + ".a" + numbers++));
+    }
+
     private static String tagged(String value, String tag) {
         return tag.isEmpty() || Params.of(value).has("tag") ? value : value + ";tag=" + tag;
     }
@@ -355,7 +355,6 @@
             return;
         }
         call.interval = seconds * 1_000_000;
-        call.refreshes = refresher;
         if (refresher) {
             call.refresh = timers.set(now + call.interval / 2, (at, o) -> refresh(at, call, o));
         } else {
@@ -400,8 +399,7 @@
         int status = response == null ? 408 : response.status();
         if (invite && status < 300) {
             // Each copy of the 200 gets its ACK.
-            SipMessage ack = dialogRequest("ACK", call, tx.request().sequence());
-            ack.addFirst("Via", Via.text(self.over(call.remoteHop.tcp()), Via.COOKIE + seed + ".a" + numbers++));
+            SipMessage ack = ack(call, tx.request().sequence());
             retarget(call, response);
             out.send(call.remoteHop, ack);
         }
@@ -588,10 +586,6 @@
         if (response.status() < 200) {
             boolean first = !call.heard;
             call.heard = true;
-            String tag = response.toTag();
-            if (!tag.isEmpty() && !call.early.contains(tag) && call.early.size() < MOST_EARLY) {
-                call.early.add(tag);
-            }
             if (call.cancelled && first) {
                 transactions.cancel(now, call.client, out);
             } else if (!call.cancelled && response.status() > 100) {
@@ -621,8 +615,7 @@
         Collections.reverse(routes);
         call.routes = routes;
         call.remoteHop = firstHop(call, contact == null ? call.remoteHop : contact.hop());
-        call.ack = dialogRequest("ACK", call, call.invite.sequence());
-        call.ack.addFirst("Via", Via.text(self.over(call.remoteHop.tcp()), Via.COOKIE + seed + ".a" + numbers++));
+        call.ack = ack(call, call.invite.sequence());
         out.send(call.remoteHop, call.ack);
         call.state = Call.State.STANDS;
         if (call.cancelled) {
@@ -646,9 +639,7 @@
         other.remoteTag = response.toTag();
         other.remoteTarget = SipUri.text(contact.user(), contact.hop());
         other.remoteHop = contact.hop();
-        SipMessage ack = dialogRequest("ACK", other, call.invite.sequence());
-        ack.addFirst("Via", Via.text(self.over(other.remoteHop.tcp()), Via.COOKIE + seed + ".a" + numbers++));
-        out.send(other.remoteHop, ack);
+        out.send(other.remoteHop, ack(other, call.invite.sequence()));
         transactions.send(now, inDialog("BYE", other), other.remoteHop, null, out);
     }
 
--- a/src/main/java/coralcove/sip/dialog/Call.java
+++ b/src/main/java/coralcove/sip/dialog/Call.java
@@ -5,7 +5,6 @@
 import coralcove.sip.Timers;
 import coralcove.sip.transaction.ClientTx;
 import coralcove.sip.transaction.ServerTx;
-import java.util.ArrayList;
 import java.util.List;
 
 /** One leg: an INVITE sent or received, and the dialog that its 2xx makes. Owned by one {@link Agent}. */
@@ -21,14 +20,11 @@
     String remoteTarget = "";
     /** The route set (RFC 3261 12.1), in the order in which in-dialog requests pass it. */
     List<String> routes = List.of();
-    /** To tags of provisional responses: early dialogs, at most {@link Agent#MOST_EARLY}. */
-    final List<String> early = new ArrayList<>(1);
     /** The re-INVITE or UPDATE that is out, and the one that came and waits for its answer. */
     ClientTx change;
     ServerTx changing;
-    /** µs of the session interval (RFC 4028), 0 for none; whether this side refreshes it. */
+    /** µs of the session interval (RFC 4028), 0 for none. */
     long interval;
-    boolean refreshes;
     Timers.Timer refresh;
     Hop remoteHop;
     long localSequence;
--- a/src/main/java/coralcove/sip/transaction/Transactions.java
+++ b/src/main/java/coralcove/sip/transaction/Transactions.java
@@ -89,13 +89,17 @@
         request.addFirst("Via", Via.text(self.over(to.tcp()), branch));
         ClientTx tx = new ClientTx(key(branch, request.method()), request, to, owner);
         clients.put(tx.key, tx);
+        begin(now, tx, out);
+        return tx;
+    }
+
+    private void begin(long now, ClientTx tx, Out out) {
         tx.gap = T1;
-        if (!to.tcp()) {
+        if (!tx.to.tcp()) {
             tx.resend = timers.set(now + tx.gap, (at, o) -> again(at, tx, o));
         }
         tx.end = timers.set(now + PATIENCE * T1, (at, o) -> over(at, tx, Failure.TIME_OUT, o));
-        out.send(to, request);
-        return tx;
+        tx.resend(out);
     }
 
     /** Sends a CANCEL for an INVITE that has had a provisional answer (RFC 3261 9.1): same branch, own transaction. */
@@ -112,15 +116,9 @@
         cancel.addFirst("Via", invite.request.header("Via"));
         String branch = Via.of(cancel.header("Via")).branch();
         ClientTx tx = new ClientTx(key(branch, "CANCEL"), cancel, invite.to, null);
-        if (clients.putIfAbsent(tx.key, tx) != null) {
-            return;
-        }
-        tx.gap = T1;
-        if (!tx.to.tcp()) {
-            tx.resend = timers.set(now + tx.gap, (at, o) -> again(at, tx, o));
+        if (clients.putIfAbsent(tx.key, tx) == null) {
+            begin(now, tx, out);
         }
-        tx.end = timers.set(now + PATIENCE * T1, (at, o) -> over(at, tx, Failure.TIME_OUT, o));
-        out.send(tx.to, cancel);
     }
 
     /** Sends this request no more, but goes on taking what comes for it until its time is up. */
--- a/src/test/java/coralcove/rehearsal/RehearsalTest.java
+++ b/src/test/java/coralcove/rehearsal/RehearsalTest.java
@@ -78,7 +78,7 @@
         Day day = badDay(6);
         coralcove.judge.Judge judge = new coralcove.judge.Judge(day.rules());
         judge.end(CaptureLine.read(first, judge));
-        assertThat(judge.unreadable()).isZero();
+        assertThat(judge.unreadables()).isZero();
         assertThat(judge.verdicts().get("one_invite").checked()).isGreaterThan(1000);
         assertThat(judge.verdicts().values().stream().mapToLong(v -> v.broken()).sum()).isZero();
     }
--- a/src/test/java/coralcove/sip/SipFuzz.java
+++ b/src/test/java/coralcove/sip/SipFuzz.java
@@ -31,6 +31,9 @@
         }
         try {
             byte[] bytes = message.bytes();
+            if (message.length() != bytes.length) {
+                throw new IllegalStateException("a message of " + bytes.length + " bytes says " + message.length());
+            }
             if (bytes.length <= SipParser.MOST_BYTES) {
                 SipMessage again = SipParser.parse(bytes, 0, bytes.length);
                 if (!Arrays.equals(again.bytes(), bytes)) {
