Share the cores' plumbing, the commands' start, refusals between legs and the policies' names

Router, exchange, directory and the test's phone each wrote the same five methods between driver and agent: AgentCore has them. Router and exchange passed a refusal to their other leg by twin code: protocol.Refusal. Three commands started alike: Serving. The policies' names stood twice: baseline.Policies.

--- /dev/null
+++ b/src/main/java/coralcove/baseline/Policies.java
@@ -0,0 +1,23 @@
+package coralcove.baseline;
+
+import coralcove.CallRouter;
+import coralcove.Choice;
+import coralcove.Settings;
+import java.util.List;
+import java.util.SplittableRandom;
+
+/** The policies that a router can be started with, by name. */
+public final class Policies {
+    public static final List<String> NAMES = List.of("choice", "direct", "first-tandem");
+
+    private Policies() {}
+
+    /** The module, or a baseline; {@code policy} is one of {@link #NAMES}. */
+    public static CallRouter router(String policy, Settings settings, long seed) {
+        return switch (policy) {
+            case "direct" -> new Direct(settings, false);
+            case "first-tandem" -> new Direct(settings, true);
+            default -> new Choice(settings, new SplittableRandom(seed));
+        };
+    }
+}
--- a/src/main/java/coralcove/cli/Commands.java
+++ b/src/main/java/coralcove/cli/Commands.java
@@ -1,5 +1,6 @@
 package coralcove.cli;
 
+import coralcove.baseline.Policies;
 import coralcove.config.BadConfig;
 import coralcove.config.Toml;
 import coralcove.directory.DirectoryCore;
@@ -74,18 +75,25 @@
         throw new CommandLine.ParameterException(spec.commandLine(), "a command is missing");
     }
 
-    /** Options of all commands that log. */
-    static final class Logging {
+    /** A command that runs one node from its settings until it is ended. */
+    abstract static class Serving implements Callable<Integer> {
+        @Parameters(paramLabel = "CONFIG", description = "settings, TOML")
+        private Path config;
         @Option(names = "--log", paramLabel = "LEVEL", defaultValue = "INFO",
                 description = "what is logged as JSON lines on standard error: ERROR, WARN, INFO (default) or OFF")
-        String level;
+        private String level;
+
+        abstract void serve(Toml toml) throws BadConfig;
 
-        void set() {
+        @Override
+        public Integer call() throws Exception {
             System.setProperty("coralcove.log", level);
+            serve(Toml.read(config));
+            return 0;
         }
     }
 
-    private static void serve(Toml toml, String table, String name, Hop self, Core core) throws BadConfig {
+    private static void run(Toml toml, String table, String name, Hop self, Core core) throws BadConfig {
         AtomicBoolean stop = new AtomicBoolean();
         CountDownLatch ended = new CountDownLatch(1);
         LiveNetwork network = new LiveNetwork(null);
@@ -128,62 +136,38 @@
     @Command(name = "edge", mixinStandardHelpOptions = true, description = "Runs one call router.",
             footer = {"", "Ends on SIGTERM once all sessions in hand have their answer.", "Example:",
                 "  coralcove edge deploy/examples/edge-0.toml"})
-    static final class Edge implements Callable<Integer> {
-        @Parameters(paramLabel = "CONFIG", description = "settings, TOML")
-        private Path config;
-        @CommandLine.Mixin
-        private Logging logging;
-
+    static final class Edge extends Serving {
         @Override
-        public Integer call() throws Exception {
-            logging.set();
-            Toml toml = Toml.read(config);
+        void serve(Toml toml) throws BadConfig {
             EdgeFile file = EdgeFile.of(toml);
-            EdgeCore core = new EdgeCore(file.settings(), Rehearsal.router(file.policy(), file.settings().module(),
+            EdgeCore core = new EdgeCore(file.settings(), Policies.router(file.policy(), file.settings().module(),
                     file.settings().seed()));
-            serve(toml, "edge", "edge-" + file.settings().number(), file.settings().self(), core);
-            return 0;
+            Commands.run(toml, "edge", "edge-" + file.settings().number(), file.settings().self(), core);
         }
     }
 
     @Command(name = "exchange", mixinStandardHelpOptions = true, description = "Runs a stand-in exchange.",
             footer = {"", "Example:", "  coralcove exchange deploy/examples/exchange-0.toml"})
-    static final class Exchange implements Callable<Integer> {
-        @Parameters(paramLabel = "CONFIG", description = "settings, TOML")
-        private Path config;
-        @CommandLine.Mixin
-        private Logging logging;
-
+    static final class Exchange extends Serving {
         @Override
-        public Integer call() throws Exception {
-            logging.set();
-            Toml toml = Toml.read(config);
+        void serve(Toml toml) throws BadConfig {
             ExchangeFile file = ExchangeFile.of(toml);
             long now = LiveNetwork.clock();
             ExchangeSettings settings = file.cold() ? file.settings().startedAt(now) : file.settings();
             List<Arrival> arrivals = file.arrivals().stream().map(a -> a.after(now)).toList();
-            serve(toml, "exchange", "exchange-" + settings.number(), settings.self(),
+            Commands.run(toml, "exchange", "exchange-" + settings.number(), settings.self(),
                     new ExchangeCore(settings, arrivals, new Stats()));
-            return 0;
         }
     }
 
     @Command(name = "directory", mixinStandardHelpOptions = true, description = "Runs the stand-in directory.",
             footer = {"", "Example:", "  coralcove directory deploy/examples/directory.toml"})
-    static final class Directory implements Callable<Integer> {
-        @Parameters(paramLabel = "CONFIG", description = "settings, TOML")
-        private Path config;
-        @CommandLine.Mixin
-        private Logging logging;
-
+    static final class Directory extends Serving {
         @Override
-        public Integer call() throws Exception {
-            logging.set();
-            Toml toml = Toml.read(config);
+        void serve(Toml toml) throws BadConfig {
             DirectoryFile file = DirectoryFile.of(toml);
-            serve(toml, "directory", "directory", file.listen(), new DirectoryCore(file.listen(), file.late(),
+            Commands.run(toml, "directory", "directory", file.listen(), new DirectoryCore(file.listen(), file.late(),
                     Long.toString(System.nanoTime() & 0xffffffffL, 36)));
-            return 0;
         }
     }
 
@@ -230,9 +214,9 @@
         @Override
         public Integer call() throws Exception {
             System.setProperty("coralcove.log", level);
-            if (!Rehearsal.POLICIES.contains(policy)) {
+            if (!Policies.NAMES.contains(policy)) {
                 throw new CommandLine.ParameterException(spec.commandLine(), "--policy: " + policy + " is none of "
-                        + String.join(", ", Rehearsal.POLICIES));
+                        + String.join(", ", Policies.NAMES));
             }
             Day it = day.read();
             it.unmapped().forEach(line -> System.out.println("not mapped: " + line));
--- a/src/main/java/coralcove/directory/DirectoryCore.java
+++ b/src/main/java/coralcove/directory/DirectoryCore.java
@@ -1,13 +1,11 @@
 package coralcove.directory;
 
-import coralcove.sip.BadMessage;
-import coralcove.sip.Core;
 import coralcove.sip.Hop;
 import coralcove.sip.Out;
 import coralcove.sip.SipMessage;
 import coralcove.sip.SipUri;
-import coralcove.sip.Timers;
 import coralcove.sip.dialog.Agent;
+import coralcove.sip.dialog.AgentCore;
 import coralcove.sip.dialog.Call;
 import coralcove.sip.transaction.ClientTx;
 import coralcove.sip.transaction.ServerTx;
@@ -20,7 +18,7 @@
  * The stand-in exchange directory: exchanges register with it, routers subscribe to it, and its news is late. It
  * knows only whether a processor runs. A whole list answers each SUBSCRIBE; changes follow by NOTIFY.
  */
-public final class DirectoryCore implements Core, Agent.User {
+public final class DirectoryCore extends AgentCore {
     /** Its settings in µs: how late news of a drain or an end, of silence, and of a start is. */
     public record Late(long notice, long silence, long add) {}
 
@@ -35,20 +33,14 @@
 
     private final Hop self;
     private final Late late;
-    private final Timers timers = new Timers();
-    private final Agent agent;
     private final Map<Long, Entry> entries = new LinkedHashMap<>();
     private final TreeMap<String, Hop> watchers = new TreeMap<>();
     private long version = 1;
 
     public DirectoryCore(Hop self, Late late, String start) {
+        super(self, start);
         this.self = self;
         this.late = late;
-        agent = new Agent(self, timers, start, this);
-    }
-
-    public Agent agent() {
-        return agent;
     }
 
     @Override
@@ -56,31 +48,6 @@
         out.log("directory", "", self.toString());
     }
 
-    @Override
-    public void receive(long now, Hop from, SipMessage message, Out out) {
-        agent.receive(now, from, message, out);
-    }
-
-    @Override
-    public void malformed(long now, Hop from, BadMessage problem, Out out) {
-        agent.malformed(now, from, problem, out);
-    }
-
-    @Override
-    public void broken(long now, Hop peer, boolean refused, Out out) {
-        agent.broken(now, peer, refused, out);
-    }
-
-    @Override
-    public void tick(long now, Out out) {
-        timers.run(now, out);
-    }
-
-    @Override
-    public long due() {
-        return timers.due();
-    }
-
     @Override
     public void request(long now, ServerTx tx, Hop from, Out out) {
         switch (tx.request().method()) {
--- a/src/main/java/coralcove/edge/EdgeCore.java
+++ b/src/main/java/coralcove/edge/EdgeCore.java
@@ -10,8 +10,7 @@
 import coralcove.Waiting;
 import coralcove.protocol.CallHeaders;
 import coralcove.protocol.Outcomes;
-import coralcove.sip.BadMessage;
-import coralcove.sip.Core;
+import coralcove.protocol.Refusal;
 import coralcove.sip.Hop;
 import coralcove.sip.Out;
 import coralcove.sip.Params;
@@ -19,6 +18,7 @@
 import coralcove.sip.SipUri;
 import coralcove.sip.Timers;
 import coralcove.sip.dialog.Agent;
+import coralcove.sip.dialog.AgentCore;
 import coralcove.sip.dialog.Call;
 import coralcove.sip.transaction.ClientTx;
 import coralcove.sip.transaction.ServerTx;
@@ -33,7 +33,7 @@
  * One call router: it tells the module what happens and does what the module decides. Back to back user agent:
  * a session is a leg in and, one after another, legs out, all through the own exchange. It decides nothing.
  */
-public final class EdgeCore implements Core, Agent.User {
+public final class EdgeCore extends AgentCore {
     /** Seconds a subscription is asked for; it is renewed after half of that. */
     private static final int SUBSCRIBED = 60;
     private static final String BUSY = "Temporarily Unavailable";
@@ -87,8 +87,6 @@
 
     private final EdgeSettings settings;
     private final CallRouter router;
-    private final Timers timers = new Timers();
-    private final Agent agent;
     private final Trunks trunks = new Trunks();
     private final Map<Long, Place> roster = new LinkedHashMap<>();
     private final Map<Long, Held> open = new LinkedHashMap<>();
@@ -104,9 +102,9 @@
     private boolean fetching;
 
     public EdgeCore(EdgeSettings settings, CallRouter router) {
+        super(settings.self(), settings.start());
         this.settings = settings;
         this.router = router;
-        agent = new Agent(settings.self(), timers, settings.start(), this);
     }
 
     /** Takes nothing new from now on; {@link #idle} tells when all that is held has its answer. */
@@ -118,10 +116,6 @@
         return unanswered == 0;
     }
 
-    public Agent agent() {
-        return agent;
-    }
-
     public int sessions() {
         return open.size();
     }
@@ -136,7 +130,7 @@
 
     @Override
     public void receive(long now, Hop from, SipMessage message, Out out) {
-        agent.receive(now, from, message, out);
+        super.receive(now, from, message, out);
         rest(now, out);
     }
 
@@ -151,28 +145,18 @@
         return agent.repeat(message);
     }
 
-    @Override
-    public void malformed(long now, Hop from, BadMessage problem, Out out) {
-        agent.malformed(now, from, problem, out);
-    }
-
     @Override
     public void broken(long now, Hop peer, boolean refused, Out out) {
-        agent.broken(now, peer, refused, out);
+        super.broken(now, peer, refused, out);
         rest(now, out);
     }
 
     @Override
     public void tick(long now, Out out) {
-        timers.run(now, out);
+        super.tick(now, out);
         rest(now, out);
     }
 
-    @Override
-    public long due() {
-        return timers.due();
-    }
-
     private void rest(long now, Out out) {
         Waiting waiting = router.waiting(now);
         if (waiting.subscribe()) {
@@ -429,30 +413,15 @@
             return;
         }
         if (held.session == null) {
-            pass(now, held, response, lost, out);
+            // What the own lines say goes back as they said it.
+            Refusal refusal = Refusal.of(response, lost, "Reason", "Retry-After");
+            answer(now, held, refusal.status(), refusal.reason(), out, refusal.fields());
             return;
         }
         Outcomes.Outcome outcome = Outcomes.of(response, lost);
         settle(now, leg, outcome.ending(), outcome.cause(), outcome.namedWait(), out);
     }
 
-    /** What the own lines say goes back as they said it. */
-    private void pass(long now, Held held, SipMessage response, Agent.Lost lost, Out out) {
-        if (response == null) {
-            answer(now, held, lost == Agent.Lost.UNREACHABLE ? 502 : 408, "No Answer", out, "Reason",
-                    Outcomes.reason(lost == Agent.Lost.UNREACHABLE ? Outcomes.UNREACHABLE : 102, "no answer"));
-            return;
-        }
-        List<String> extra = new ArrayList<>();
-        for (String name : List.of("Reason", "Retry-After")) {
-            if (response.header(name) != null) {
-                extra.add(name);
-                extra.add(response.header(name));
-            }
-        }
-        answer(now, held, response.status(), response.reason(), out, extra.toArray(String[]::new));
-    }
-
     @Override
     public void cancelled(long now, Call call, Out out) {
         Held held = (Held) call.owner();
--- a/src/main/java/coralcove/edge/EdgeFile.java
+++ b/src/main/java/coralcove/edge/EdgeFile.java
@@ -1,6 +1,7 @@
 package coralcove.edge;
 
 import coralcove.Settings;
+import coralcove.baseline.Policies;
 import coralcove.config.BadConfig;
 import coralcove.config.Hops;
 import coralcove.config.Toml;
@@ -13,7 +14,7 @@
         Toml.Table edge = toml.table("edge");
         int number = edge.whole("number", 0, 65_535);
         long seed = edge.whole("seed", 1, Integer.MAX_VALUE, 1);
-        String policy = edge.oneOf("policy", List.of("choice", "direct", "first-tandem"), "choice");
+        String policy = edge.oneOf("policy", Policies.NAMES, "choice");
         List<Settings.Service> services = new ArrayList<>();
         long shortest = Long.MAX_VALUE;
         for (Toml.Table each : toml.list("service")) {
--- a/src/main/java/coralcove/exchange/ExchangeCore.java
+++ b/src/main/java/coralcove/exchange/ExchangeCore.java
@@ -2,14 +2,14 @@
 
 import coralcove.protocol.CallHeaders;
 import coralcove.protocol.Outcomes;
-import coralcove.sip.BadMessage;
-import coralcove.sip.Core;
+import coralcove.protocol.Refusal;
 import coralcove.sip.Hop;
 import coralcove.sip.Out;
 import coralcove.sip.SipMessage;
 import coralcove.sip.SipUri;
 import coralcove.sip.Timers;
 import coralcove.sip.dialog.Agent;
+import coralcove.sip.dialog.AgentCore;
 import coralcove.sip.dialog.Call;
 import coralcove.sip.transaction.ClientTx;
 import coralcove.sip.transaction.ServerTx;
@@ -27,7 +27,7 @@
  * A stand-in exchange: a processor that all its signalling passes, its lines, its callers. It carries its call
  * router's INVITEs on to the next router, answers for its own lines, and has the faults a day asks for.
  */
-public final class ExchangeCore implements Core, Agent.User {
+public final class ExchangeCore extends AgentCore {
     /** µs between two REGISTERs to the directory. */
     private static final long REGISTER_EVERY = 1_000_000;
     /** Load columns are smoothed over this many µs. */
@@ -66,8 +66,6 @@
     }
 
     private final ExchangeSettings settings;
-    private final Timers timers = new Timers();
-    private final Agent agent;
     private final Processor processor;
     private final RandomGenerator chance;
     private final ArrayDeque<Arrival> arrivals;
@@ -89,20 +87,16 @@
 
     /** {@code arrivals} in order of time; those before the start are passed over. */
     public ExchangeCore(ExchangeSettings settings, List<Arrival> arrivals, Stats stats) {
+        super(settings.self(), settings.start());
         this.settings = settings;
         this.arrivals = new ArrayDeque<>(arrivals);
         this.stats = stats;
         chance = new SplittableRandom(settings.seed());
-        agent = new Agent(settings.self(), timers, settings.start(), this);
         groups = new TreeMap<>(settings.groups());
         ExchangeSettings.Rules rules = settings.rules();
         processor = new Processor(timers, settings.since(), rules.coldFrom(), rules.warmUp());
     }
 
-    public Agent agent() {
-        return agent;
-    }
-
     public boolean fallen() {
         return fallen;
     }
@@ -125,26 +119,6 @@
         }
     }
 
-    @Override
-    public void malformed(long now, Hop from, BadMessage problem, Out out) {
-        agent.malformed(now, from, problem, out);
-    }
-
-    @Override
-    public void broken(long now, Hop peer, boolean refused, Out out) {
-        agent.broken(now, peer, refused, out);
-    }
-
-    @Override
-    public void tick(long now, Out out) {
-        timers.run(now, out);
-    }
-
-    @Override
-    public long due() {
-        return timers.due();
-    }
-
     private void register(long now, Out out) {
         if (fallen) {
             return;
@@ -356,20 +330,8 @@
         }
         Relay relay = (Relay) call.owner();
         relays.remove(relay);
-        if (response == null) {
-            boolean down = lost == Agent.Lost.UNREACHABLE;
-            agent.reject(now, relay.in, down ? 502 : 408, "No Answer", out, "Reason",
-                    Outcomes.reason(down ? Outcomes.UNREACHABLE : 102, "no answer"));
-            return;
-        }
-        java.util.ArrayList<String> extra = new java.util.ArrayList<>();
-        for (String name : List.of("Reason", "Retry-After", "X-Circuits")) {
-            if (response.header(name) != null) {
-                extra.add(name);
-                extra.add(response.header(name));
-            }
-        }
-        agent.reject(now, relay.in, response.status(), response.reason(), out, extra.toArray(String[]::new));
+        Refusal refusal = Refusal.of(response, lost, "Reason", "Retry-After", "X-Circuits");
+        agent.reject(now, relay.in, refusal.status(), refusal.reason(), out, refusal.fields());
     }
 
     @Override
--- a/src/main/java/coralcove/rehearsal/Rehearsal.java
+++ b/src/main/java/coralcove/rehearsal/Rehearsal.java
@@ -1,9 +1,6 @@
 package coralcove.rehearsal;
 
-import coralcove.CallRouter;
-import coralcove.Choice;
-import coralcove.Settings;
-import coralcove.baseline.Direct;
+import coralcove.baseline.Policies;
 import coralcove.directory.DirectoryCore;
 import coralcove.edge.EdgeCore;
 import coralcove.edge.EdgeSettings;
@@ -18,11 +15,9 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.SplittableRandom;
 
 /** Plays a day on a network, live or virtual: routers, stand-ins and troubles at their times. */
 public final class Rehearsal {
-    public static final List<String> POLICIES = List.of("choice", "direct", "first-tandem");
     /** µs before the first caller: lists and group sizes are told by then. */
     private static final long LEAD = 2_000_000;
     /** µs after the last caller: the longest limit has passed and all is answered. */
@@ -55,15 +50,6 @@
         ids = new long[day.exchanges()];
     }
 
-    /** What routers a policy's name stands for. */
-    public static CallRouter router(String policy, Settings settings, long seed) {
-        return switch (policy) {
-            case "direct" -> new Direct(settings, false);
-            case "first-tandem" -> new Direct(settings, true);
-            default -> new Choice(settings, new SplittableRandom(seed));
-        };
-    }
-
     public static int ports(Day day) {
         return 2 * day.exchanges() + 1;
     }
@@ -116,7 +102,7 @@
         EdgeSettings settings = new EdgeSettings(number, edge(number), exchange(number), directory(),
                 day.settings(number), day.router().answerMargin(), day.router().mostOpen(), seed, start());
         network.add("edge-" + number, edge(number), new EdgeCore(settings,
-                router(policy, settings.module(), seed * 1000 + number)), true);
+                Policies.router(policy, settings.module(), seed * 1000 + number)), true);
     }
 
     private void addExchange(int number, long since) {
--- /dev/null
+++ b/src/main/java/coralcove/sip/dialog/AgentCore.java
@@ -0,0 +1,48 @@
+package coralcove.sip.dialog;
+
+import coralcove.sip.BadMessage;
+import coralcove.sip.Core;
+import coralcove.sip.Hop;
+import coralcove.sip.Out;
+import coralcove.sip.SipMessage;
+import coralcove.sip.Timers;
+
+/** A core that is the user of one {@link Agent}: what it is driven with goes to the agent and its timers. */
+public abstract class AgentCore implements Core, Agent.User {
+    protected final Timers timers = new Timers();
+    protected final Agent agent;
+
+    /** {@code seed} makes the ids of this start unlike those of any other node or start. */
+    protected AgentCore(Hop self, String seed) {
+        agent = new Agent(self, timers, seed, this);
+    }
+
+    public final Agent agent() {
+        return agent;
+    }
+
+    @Override
+    public void receive(long now, Hop from, SipMessage message, Out out) {
+        agent.receive(now, from, message, out);
+    }
+
+    @Override
+    public void malformed(long now, Hop from, BadMessage problem, Out out) {
+        agent.malformed(now, from, problem, out);
+    }
+
+    @Override
+    public void broken(long now, Hop peer, boolean refused, Out out) {
+        agent.broken(now, peer, refused, out);
+    }
+
+    @Override
+    public void tick(long now, Out out) {
+        timers.run(now, out);
+    }
+
+    @Override
+    public long due() {
+        return timers.due();
+    }
+}
--- a/src/test/java/coralcove/network/LiveNetworkTest.java
+++ b/src/test/java/coralcove/network/LiveNetworkTest.java
@@ -4,12 +4,11 @@
 import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
 import coralcove.sip.BadMessage;
-import coralcove.sip.Core;
 import coralcove.sip.Hop;
 import coralcove.sip.Out;
 import coralcove.sip.SipMessage;
-import coralcove.sip.Timers;
 import coralcove.sip.dialog.Agent;
+import coralcove.sip.dialog.AgentCore;
 import coralcove.sip.dialog.Call;
 import coralcove.sip.transaction.ClientTx;
 import coralcove.sip.transaction.ServerTx;
@@ -30,14 +29,12 @@
     private final LiveNetwork network = new LiveNetwork(null);
 
     /** A phone that calls {@code to} at its start, or answers what calls it and hangs up once it is acknowledged. */
-    private static final class Phone implements Core, Agent.User {
+    private static final class Phone extends AgentCore {
         final BlockingQueue<String> seen = new LinkedBlockingQueue<>();
-        final Timers timers = new Timers();
-        final Agent agent;
         final Hop to;
 
         Phone(Hop self, Hop to, String seed) {
-            agent = new Agent(self, timers, seed, this);
+            super(self, seed);
             this.to = to;
         }
 
@@ -50,31 +47,16 @@
             }
         }
 
-        @Override
-        public void receive(long now, Hop from, SipMessage message, Out out) {
-            agent.receive(now, from, message, out);
-        }
-
         @Override
         public void malformed(long now, Hop from, BadMessage problem, Out out) {
             seen.add("malformed");
-            agent.malformed(now, from, problem, out);
+            super.malformed(now, from, problem, out);
         }
 
         @Override
         public void broken(long now, Hop peer, boolean refused, Out out) {
             seen.add(refused ? "refused" : "broken");
-            agent.broken(now, peer, refused, out);
-        }
-
-        @Override
-        public void tick(long now, Out out) {
-            timers.run(now, out);
-        }
-
-        @Override
-        public long due() {
-            return timers.due();
+            super.broken(now, peer, refused, out);
         }
 
         @Override
--- a/src/test/java/coralcove/rehearsal/RehearsalTest.java
+++ b/src/test/java/coralcove/rehearsal/RehearsalTest.java
@@ -32,7 +32,7 @@
         double[] shares = new double[3];
         for (long seed = 1; seed <= 3; seed++) {
             for (int i = 0; i < 3; i++) {
-                Result result = Rehearse.virtual(badDay(seed), seed, Rehearsal.POLICIES.get(i), null, null);
+                Result result = Rehearse.virtual(badDay(seed), seed, coralcove.baseline.Policies.NAMES.get(i), null, null);
                 shares[i] += result.share();
                 if (i == 0) {
                     kept(result);
