Count a window's places by what is answered quickly; what was overtaken waits in no queue

A set-up that was sent again after 500 ms was taken for a slow one and halved the window to its exchange, and 32 places filled up.

--- a/src/main/java/coralcove/Choice.java
+++ b/src/main/java/coralcove/Choice.java
@@ -60,6 +60,9 @@
     private static final double OWN_MOST = 64;
     private static final double OWN_LEAST = 2;
     private static final double OWN_CUT = 0.85;
+    /** µs: span over which quick answers are counted, to tell what one place of a window is worth. */
+    private static final long PLACE_SPAN = 1_000_000;
+    private static final int PLACE_BUCKETS = 10;
     /** Share of slow answers from which most are slow, and under which few are; weight of the newest. */
     private static final double MOST = 0.5;
     private static final double FEW = 0.2;
@@ -140,6 +143,7 @@
     private final ArrayDeque<Invite> out = new ArrayDeque<>();
     private final long overdue;
     private double ownWindow = OWN_FIRST;
+    private final Ring ownQuick = new Ring(PLACE_SPAN, PLACE_BUCKETS);
     private long ownCutAt;
     private final boolean marks;
     private final Map<Long, Called> numbers = new LinkedHashMap<>();
@@ -212,6 +216,11 @@
         long holdUntil;
         double window = WINDOW_FIRST;
         long cutAt;
+        final Ring quick = new Ring(PLACE_SPAN, PLACE_BUCKETS);
+        /** INVITEs out in the order sent; those overtaken by a quick answer; when the newest such was sent. */
+        final ArrayDeque<Invite> out = new ArrayDeque<>();
+        int overtaken;
+        long quickSentAt;
         boolean slow;
         /** A slow processor needs no sessions of others in transit, and there are many tandems. */
         long noTandemUntil;
@@ -230,6 +239,7 @@
         /** Whether its set-up is over, by an answer or without one. */
         boolean ended;
         boolean overdue;
+        boolean overtaken;
 
         Invite(Far far, long sentAt) {
             this.far = far;
@@ -506,7 +516,7 @@
         out[0] = (byte) ownNumber;
         out[1] = (byte) (ownNumber >> 8);
         // A pressed processor turns transit back only after two have worked on it: it tells of no ways.
-        if (inFlight(now) >= ownWindow * PRESS_TOLD) {
+        if (inFlight(now) >= ownWindow * PRESS_TOLD * place(now, ownQuick, OWN_MOST)) {
             return out;
         }
         groups.forEach((number, group) -> {
@@ -626,6 +636,7 @@
         far.settingUp++;
         inFlight++;
         out.add(it.invite);
+        far.out.add(it.invite);
         far.sends.add(now, 1);
         far.sentAt = now;
         long left = session.limit() - now;
@@ -789,8 +800,18 @@
         if (far.failures >= FAILURES) {
             return now >= far.trialAt && far.trial == null;
         }
-        return far.settingUp < Math.max(1, far.window * press)
-                && inFlight(now) < Math.max(1, ownWindow * press);
+        int queued = far.settingUp - far.overtaken;
+        return queued < Math.max(1, far.window * press) * place(now, far.quick, WINDOW_MOST)
+                && inFlight(now) < Math.max(1, ownWindow * press) * place(now, ownQuick, OWN_MOST);
+    }
+
+    /**
+     * Set-ups that one place of a window stands for. The windows are cut for some dozens a second; where
+     * hundreds are answered quickly, that many more are in flight without a queue, and a short stall would
+     * fill them. The widest window holds what comes while an answer still counts as quick.
+     */
+    private double place(long now, Ring quick, double most) {
+        return Math.max(1, quick.sum(now) / PLACE_SPAN * SLOW * overdue / most);
     }
 
     /** Grows by one for a window of quick answers, and is cut once for a window of slow ones. */
@@ -804,8 +825,12 @@
             lastPaced = far;
         }
         if (quick) {
-            ownWindow = Math.min(OWN_MOST, ownWindow + 1 / ownWindow);
-            far.window = Math.min(WINDOW_MOST, far.window + 1 / far.window);
+            ownQuick.add(now, 1);
+            far.quick.add(now, 1);
+            double own = ownWindow * place(now, ownQuick, OWN_MOST);
+            double all = far.window * place(now, far.quick, WINDOW_MOST);
+            ownWindow = Math.min(OWN_MOST, ownWindow + 1 / own);
+            far.window = Math.min(WINDOW_MOST, far.window + 1 / all);
             return;
         }
         if (invite.sentAt >= ownCutAt && slowShare > MOST) {
@@ -818,6 +843,20 @@
         }
     }
 
+    /**
+     * A processor takes set-ups in turn: what a later one has overtaken does not wait in its queue, but for a
+     * message that was lost and is sent again. It tells nothing of the processor, and once slow fills no place.
+     */
+    private void overtake(long now, Far far, long sentAt) {
+        far.quickSentAt = Math.max(far.quickSentAt, sentAt);
+        while (!far.out.isEmpty() && (far.out.peek().ended
+                || far.out.peek().sentAt < sentAt && now - far.out.peek().sentAt > SLOW * overdue)) {
+            Invite invite = far.out.poll();
+            invite.overtaken = !invite.ended;
+            far.overtaken += invite.overtaken ? 1 : 0;
+        }
+    }
+
     /** Rule 4: this router's part of what a fresh exchange can bear, per window. */
     private boolean withinBudget(long now, Far far) {
         if (far.since <= 0 || now - far.since >= warmUp) {
@@ -838,6 +877,7 @@
         if (wasSettingUp) {
             it.invite.ended = true;
             far.settingUp--;
+            far.overtaken -= it.invite.overtaken ? 1 : 0;
             inFlight--;
             overdues -= it.invite.overdue ? 1 : 0;
         }
@@ -857,7 +897,13 @@
             // A busy reply is quick and says nothing good: a full processor must not widen its own window.
             if (ending == Ending.STANDS || cause == Cause.PROCESSOR_FULL) {
                 boolean quick = ending == Ending.STANDS && took < SLOW * services[it.kind].target;
-                pace(now, far, it.invite, quick, true);
+                boolean queued = far.number != it.session.farEnd() || it.invite.sentAt >= far.quickSentAt;
+                if (quick) {
+                    overtake(now, far, it.invite.sentAt);
+                }
+                if (quick || queued || ending == Ending.BUSY) {
+                    pace(now, far, it.invite, quick, true);
+                }
             }
         } else if (wasSettingUp && (ending == Ending.TIMED_OUT || ending == Ending.UNREACHABLE
                 || ending == Ending.RESET)) {
--- a/src/main/java/coralcove/edge/EdgeFile.java
+++ b/src/main/java/coralcove/edge/EdgeFile.java
@@ -4,6 +4,7 @@
 import coralcove.baseline.Policies;
 import coralcove.config.BadConfig;
 import coralcove.config.Hops;
+import coralcove.config.ServiceTable;
 import coralcove.config.Toml;
 import java.util.ArrayList;
 import java.util.List;
@@ -17,20 +18,10 @@
         String policy = edge.oneOf("policy", Policies.NAMES, "choice");
         List<Settings.Service> services = new ArrayList<>();
         long shortest = Long.MAX_VALUE;
-        for (Toml.Table each : toml.list("service")) {
-            long target = each.millis("target_ms", 1, 60_000);
-            long limit = each.millis("limit_ms", 1, 600_000);
-            if (limit < target) {
-                throw each.bad("limit_ms", "is shorter than target_ms");
-            }
-            shortest = Math.min(shortest, limit);
-            each.text("name");
-            services.add(new Settings.Service(target, each.number("value", 0, 1e6),
-                    each.number("late_value", 0, 1, 0), each.whole("width", 1, 64, 1),
-                    each.seconds("hold_s", 0.001, 3600), true, List.of()));
-        }
-        if (services.isEmpty()) {
-            throw toml.table("service").bad("name", "a router needs at least one [[service]]");
+        for (ServiceTable each : ServiceTable.read(toml, false)) {
+            shortest = Math.min(shortest, each.limit());
+            services.add(new Settings.Service(each.target(), each.value(), each.lateValue(), each.width(), each.hold(),
+                    true, List.of()));
         }
         Toml.Table limits = toml.table("limits");
         long comeBack = limits.millis("come_back_ms", 0, 60_000, 2000);
--- a/src/main/java/coralcove/exchange/ExchangeFile.java
+++ b/src/main/java/coralcove/exchange/ExchangeFile.java
@@ -2,6 +2,7 @@
 
 import coralcove.config.BadConfig;
 import coralcove.config.Hops;
+import coralcove.config.ServiceTable;
 import coralcove.config.Toml;
 import java.util.ArrayList;
 import java.util.List;
@@ -30,16 +31,11 @@
         List<ExchangeSettings.Service> services = new ArrayList<>();
         List<Double> shares = new ArrayList<>();
         List<Long> holds = new ArrayList<>();
-        for (Toml.Table each : toml.list("service")) {
-            each.text("name");
-            services.add(new ExchangeSettings.Service(each.millis("target_ms", 1, 60_000),
-                    each.millis("limit_ms", 1, 600_000), each.number("value", 0, 1e6),
-                    each.number("late_value", 0, 1, 0), each.whole("width", 1, 64, 1)));
-            shares.add(each.number("share", 0, 1e6));
-            holds.add(each.seconds("hold_s", 0.001, 3600));
-        }
-        if (services.isEmpty()) {
-            throw toml.table("service").bad("name", "an exchange needs at least one [[service]]");
+        for (ServiceTable each : ServiceTable.read(toml, true)) {
+            services.add(new ExchangeSettings.Service(each.target(), each.limit(), each.value(), each.lateValue(),
+                    each.width()));
+            shares.add(each.share());
+            holds.add(each.hold());
         }
         Toml.Table work = toml.table("processor");
         ExchangeSettings.Work costs = new ExchangeSettings.Work(work.millis("look_ms", 0, 10_000, 0.2),
--- a/src/main/java/coralcove/rehearsal/DayFile.java
+++ b/src/main/java/coralcove/rehearsal/DayFile.java
@@ -1,6 +1,7 @@
 package coralcove.rehearsal;
 
 import coralcove.config.BadConfig;
+import coralcove.config.ServiceTable;
 import coralcove.config.Toml;
 import coralcove.exchange.ExchangeSettings;
 import coralcove.judge.Rules;
@@ -38,19 +39,10 @@
         }
         List<Day.Service> services = new ArrayList<>();
         List<Traffic.Mix> mix = new ArrayList<>();
-        for (Toml.Table each : toml.list("service")) {
-            long target = each.millis("target_ms", 1, 60_000);
-            long limit = each.millis("limit_ms", 1, 600_000);
-            if (limit < target) {
-                throw each.bad("limit_ms", "is shorter than target_ms");
-            }
-            long hold = each.seconds("hold_s", 0.001, 3600);
-            services.add(new Day.Service(each.text("name"), target, limit, each.number("value", 0, 1e6),
-                    each.number("late_value", 0, 1, 0), each.whole("width", 1, 64, 1), hold));
-            mix.add(new Traffic.Mix(each.number("share", 0, 1e6), hold));
-        }
-        if (services.isEmpty()) {
-            throw toml.table("service").bad("name", "a day needs at least one [[service]]");
+        for (ServiceTable each : ServiceTable.read(toml, true)) {
+            services.add(new Day.Service(each.name(), each.target(), each.limit(), each.value(), each.lateValue(),
+                    each.width(), each.hold()));
+            mix.add(new Traffic.Mix(each.share(), each.hold()));
         }
         List<Trouble> troubles = troubles(toml, n, length);
         Toml.Table traffic = toml.table("traffic");
--- a/src/main/java/coralcove/sip/dialog/Agent.java
+++ b/src/main/java/coralcove/sip/dialog/Agent.java
@@ -69,6 +69,8 @@
     private static final long BYE_AGAIN = 500_000;
     /** Seconds of the session interval asked for, and the least taken (RFC 4028 section 4). */
     private static final int INTERVAL = 90;
+    /** µs until a refresh that met another change is tried again: a change takes less unless messages are lost. */
+    private static final long REFRESH_AGAIN = 2_000_000;
     /** µs before its end at which a session that was not refreshed is ended: a third, 32 s at most (RFC 4028 10). */
     private static final long LATEST_END = 32_000_000;
     /** Bytes: a request longer than this goes by TCP (RFC 3261 18.1.1). */
@@ -371,13 +373,15 @@
         if (call.state != Call.State.STANDS) {
             return;
         }
-        if (call.change == null && call.changing == null) {
+        boolean free = call.change == null && call.changing == null;
+        if (free) {
             SipMessage update = inDialog("UPDATE", call).add("Contact", "<" + SipUri.text("", self) + ">")
                     .add("Supported", "timer").add("Session-Expires", INTERVAL + ";refresher=uac");
             call.change = transactions.send(now, update, fitting(update, call.remoteHop), call, out);
         }
-        // A refresh that finds another change under way comes a little later.
-        call.refresh = timers.set(now + (call.change == null ? 2_000_000 : call.interval / 2),
+        // A refresh that finds another change under way comes a little later: after half an interval more the other
+        // side would take the session for dead.
+        call.refresh = timers.set(now + (free ? call.interval / 2 : REFRESH_AGAIN),
                 (at, o) -> refresh(at, call, o));
     }
 
--- a/src/main/java/coralcove/sip/transport/Sockets.java
+++ b/src/main/java/coralcove/sip/transport/Sockets.java
@@ -6,6 +6,9 @@
 import coralcove.sip.StreamFramer;
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
 import org.apache.mina.core.buffer.IoBuffer;
@@ -48,7 +51,7 @@
     private final NioSocketAcceptor acceptor = new NioSocketAcceptor(1);
     private final NioSocketConnector connector = new NioSocketConnector(1);
     private final Map<Hop, IoSession> streams = new ConcurrentHashMap<>();
-    private final Map<Hop, java.util.List<byte[]>> waiting = new ConcurrentHashMap<>();
+    private final Map<Hop, Waiting> waiting = new HashMap<>();
     private volatile boolean closed;
 
     /** Binds both; a port in use ends in an IOException that names the address. */
@@ -115,24 +118,46 @@
         }
     }
 
+    /** What waits for a connection that is being opened. */
+    private static final class Waiting {
+        final List<byte[]> messages = new ArrayList<>();
+        long bytes;
+        boolean full;
+
+        void add(byte[] message) {
+            messages.add(message);
+            bytes += message.length;
+        }
+    }
+
     private void connect(Hop to, byte[] bytes) {
         synchronized (waiting) {
-            java.util.List<byte[]> queue = waiting.get(to);
+            Waiting queue = waiting.get(to);
             if (queue != null) {
+                // A peer that takes no connection must not fill the memory: its transactions send again or end.
+                if (queue.bytes + bytes.length > MOST_WAITING) {
+                    if (!queue.full) {
+                        queue.full = true;
+                        listener.cutOff(to, "does not connect: " + queue.bytes + " bytes wait, more is dropped");
+                    }
+                    return;
+                }
                 queue.add(bytes);
                 return;
             }
-            waiting.put(to, new java.util.ArrayList<>(java.util.List.of(bytes)));
+            Waiting first = new Waiting();
+            first.add(bytes);
+            waiting.put(to, first);
         }
         connector.connect(new InetSocketAddress(to.host(), to.port())).addListener(future -> {
             org.apache.mina.core.future.ConnectFuture done = (org.apache.mina.core.future.ConnectFuture) future;
-            java.util.List<byte[]> queue;
+            Waiting queue;
             synchronized (waiting) {
                 queue = waiting.remove(to);
                 if (done.isConnected()) {
                     streams.put(to, done.getSession());
                     done.getSession().setAttribute(HOP, to);
-                    queue.forEach(each -> write(done.getSession(), each));
+                    queue.messages.forEach(each -> write(done.getSession(), each));
                 }
             }
             if (!done.isConnected() && !closed) {
--- a/src/test/java/coralcove/config/TomlTest.java
+++ b/src/test/java/coralcove/config/TomlTest.java
@@ -4,6 +4,7 @@
 
 import coralcove.Kept;
 import coralcove.edge.EdgeFile;
+import coralcove.exchange.ExchangeFile;
 import coralcove.rehearsal.DayFile;
 import java.io.IOException;
 import java.nio.file.Files;
@@ -51,6 +52,9 @@
             bad("edge.toml", edge.replace(change[0], change[1]).replace("limit_ms = 9000", "limit_ms = 5000"),
                     toml -> EdgeFile.of(toml).policy());
         }
+        String exchange = Files.readString(Path.of("deploy/examples/exchange-0.toml"));
+        bad("exchange.toml", exchange.replace("limit_ms = 9000", "limit_ms = 900"),
+                toml -> ExchangeFile.of(toml).cold());
         assertThat(told.toString()).isEqualTo(Kept.trace("bad-settings"));
     }
 }
--- a/src/test/java/coralcove/network/LiveNetworkTest.java
+++ b/src/test/java/coralcove/network/LiveNetworkTest.java
@@ -12,13 +12,17 @@
 import coralcove.sip.dialog.Call;
 import coralcove.sip.transaction.ClientTx;
 import coralcove.sip.transaction.ServerTx;
+import coralcove.sip.transport.Sockets;
 import java.io.IOException;
 import java.io.OutputStream;
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
@@ -162,6 +166,46 @@
         }
     }
 
+    /** What waited for a connection that was never taken grew without a bound. */
+    @Test
+    void whatWaitsForAConnectionIsBounded() throws Exception {
+        try (ServerSocket deaf = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            List<Socket> fill = new ArrayList<>();
+            try {
+                for (int i = 0; i < 4; i++) {
+                    Socket each = new Socket();
+                    fill.add(each);
+                    each.connect(deaf.getLocalSocketAddress(), 200);
+                }
+            } catch (IOException full) {
+                // The backlog is full: from now on a connection waits.
+            }
+            CompletableFuture<String> cut = new CompletableFuture<>();
+            Sockets.Listener listener = new Sockets.Listener() {
+                @Override
+                public void read(Hop from, byte[] bytes) { }
+
+                @Override
+                public void broken(Hop peer, boolean refused) { }
+
+                @Override
+                public void cutOff(Hop peer, String reason) {
+                    cut.complete(reason);
+                }
+            };
+            try (Sockets sockets = new Sockets(new Hop(false, "127.0.0.1", freePort()), listener)) {
+                Hop to = new Hop(true, "127.0.0.1", deaf.getLocalPort());
+                for (int i = 0; i < 70; i++) {
+                    sockets.send(to, new byte[1 << 16]);
+                }
+                assertThat(cut.get(5, TimeUnit.SECONDS)).startsWith("does not connect: 4194304 bytes wait");
+            }
+            for (Socket each : fill) {
+                each.close();
+            }
+        }
+    }
+
     /** A peer that never reads, one that resets and one that closes its half: each is cut off, and others are served. */
     @Test
     void aBadPeerIsCutOffAndOthersAreServed() throws Exception {
--- a/src/test/java/coralcove/sip/dialog/DialogTest.java
+++ b/src/test/java/coralcove/sip/dialog/DialogTest.java
@@ -121,6 +121,17 @@
         assertThat(wire.a.agent.calls() + wire.b.agent.calls()).isZero();
     }
 
+    /** A refresh that met a change under way waited half an interval more, and the other side ended the session. */
+    @Test
+    void aRefreshThatMeetsAChangeComesALittleLater() {
+        Wire wire = wire((what, nth) -> what.equals("a INVITE") && nth == 2 ? Wire.LOST : Wire.FAIR);
+        wire.a.call(wire.b);
+        wire.pass(44_900);
+        wire.a.agent.change(wire.now, wire.a.call, "text/plain", "x".getBytes(), wire.a);
+        wire.pass(60_000).reads("dialog-refresh-meets-change");
+        assertThat(wire.a.agent.calls() + wire.b.agent.calls()).isEqualTo(2);
+    }
+
     @Test
     void aForgedAnswerFromElsewhereIsNotHeard() {
         Wire wire = losing("b 100 INVITE", 99);
