--- a/src/main/java/coralcove/cli/Commands.java
+++ b/src/main/java/coralcove/cli/Commands.java
@@ -6,7 +6,10 @@
 import coralcove.directory.DirectoryCore;
 import coralcove.directory.DirectoryFile;
 import coralcove.edge.EdgeCore;
+import coralcove.dns.transport.DnsClient;
 import coralcove.edge.EdgeFile;
+import coralcove.edge.NumberDesk;
+import coralcove.edge.NumbersFile;
 import coralcove.exchange.Arrival;
 import coralcove.exchange.ExchangeCore;
 import coralcove.exchange.ExchangeFile;
@@ -15,6 +18,11 @@
 import coralcove.judge.Judge;
 import coralcove.judge.Verdict;
 import coralcove.network.LiveNetwork;
+import coralcove.numbers.HoursCheck;
+import coralcove.numbers.NumberTable;
+import coralcove.numbers.file.TableReader;
+import coralcove.numbers.file.TableWatch;
+import coralcove.portability.Portability;
 import coralcove.rehearsal.BenchDay;
 import coralcove.rehearsal.CaptureLine;
 import coralcove.rehearsal.Day;
@@ -28,12 +36,14 @@
 import java.io.UncheckedIOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.security.SecureRandom;
 import java.util.List;
 import java.util.Locale;
 import java.util.concurrent.Callable;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
+import org.slf4j.LoggerFactory;
 import picocli.CommandLine;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Option;
@@ -43,7 +53,8 @@
 @Command(name = "coralcove", mixinStandardHelpOptions = true, version = "coralcove 0.2.0",
         description = "A call router for a private voice network, its stand-ins and rehearsals.",
         subcommands = {Commands.Edge.class, Commands.Exchange.class, Commands.Directory.class,
-            Commands.RehearseCommand.class, Commands.Compare.class, Commands.JudgeCommand.class, Commands.Check.class, Commands.DrillHelp.class},
+            Commands.RehearseCommand.class, Commands.Compare.class, Commands.JudgeCommand.class, Commands.Check.class, NumbersCommand.class,
+            Commands.DrillHelp.class},
         footer = {"", "Exit: 0 good, 1 bad input, 2 usage, 3 a rule broken.", "", "Examples:",
             "  coralcove rehearse days/bad-day.toml --virtual",
             "  coralcove check deploy/examples/edge-0.toml",
@@ -94,9 +105,29 @@
     }
 
     private static void run(Toml toml, String table, String name, Hop self, Core core) throws BadConfig {
+        run(toml, table, name, self, core, null);
+    }
+
+    /** µs between two looks at the files of the table of numbers. */
+    private static final long LOOK_AT_TABLE = 1_000_000;
+
+    private static void run(Toml toml, String table, String name, Hop self, Core core, NumbersFile numbers)
+            throws BadConfig {
         AtomicBoolean stop = new AtomicBoolean();
         CountDownLatch ended = new CountDownLatch(1);
         LiveNetwork network = new LiveNetwork(null);
+        TableWatch watch = null;
+        if (numbers != null && core instanceof EdgeCore edge) {
+            watch = new TableWatch(numbers.table(), numbers.changes(), edge::mayReach, trouble ->
+                    LoggerFactory.getLogger(name).warn("table-refused: {}", trouble));
+            try {
+                DnsClient client = new DnsClient(numbers.resolver(), new SecureRandom());
+                edge.numbers(new NumberDesk(numbers.mostTables(), watch.first(), numbers.porting(),
+                        Portability.over(client, numbers.suffix(), network, name, () -> edge)));
+            } catch (IOException | TableReader.Bad e) {
+                throw toml.table("numbers").bad("table", e.getMessage());
+            }
+        }
         try {
             network.add(name, self, core, false);
         } catch (UncheckedIOException e) {
@@ -114,8 +145,16 @@
         }));
         System.err.println("coralcove: " + name + " listens on " + self.host() + ":" + self.port() + " (UDP and TCP)");
         boolean told = false;
+        long lookAt = network.now() + LOOK_AT_TABLE;
         while (true) {
             network.run(network.now() + 50_000);
+            if (watch != null && network.now() >= lookAt) {
+                lookAt = network.now() + LOOK_AT_TABLE;
+                NumberTable next = watch.next();
+                if (next != null) {
+                    network.on(name, (now, out) -> ((EdgeCore) core).replace(now, next, out));
+                }
+            }
             if (stop.get() && core instanceof EdgeCore edge) {
                 boolean first = !told;
                 told = true;
@@ -142,7 +181,8 @@
             EdgeFile file = EdgeFile.of(toml);
             EdgeCore core = new EdgeCore(file.settings(), Policies.router(file.policy(), file.settings().module(),
                     file.settings().seed()));
-            Commands.run(toml, "edge", "edge-" + file.settings().number(), file.settings().self(), core);
+            Commands.run(toml, "edge", "edge-" + file.settings().number(), file.settings().self(), core,
+                    file.numbers());
         }
     }
 
@@ -347,7 +387,14 @@
             if (toml.has("day")) {
                 kind = "a day of " + DayFile.of(toml, 0).exchanges() + " exchanges";
             } else if (toml.has("edge")) {
-                kind = "call router " + EdgeFile.of(toml).settings().number();
+                EdgeFile file = EdgeFile.of(toml);
+                kind = "call router " + file.settings().number();
+                if (file.numbers() != null) {
+                    NumberTable table = NumbersCommand.read(file.numbers().table(), n -> true);
+                    kind += ", table " + table.version() + " of " + table.trie().size() + " prefixes";
+                    HoursCheck.of(table, System.currentTimeMillis() * 1000).forEach(
+                            each -> System.out.println(file.numbers().table() + ": warning: " + each));
+                }
             } else if (toml.has("exchange")) {
                 kind = "stand-in exchange " + ExchangeFile.of(toml).settings().number();
             } else if (toml.has("directory")) {
--- /dev/null
+++ b/src/main/java/coralcove/cli/NumbersCommand.java
@@ -0,0 +1,237 @@
+package coralcove.cli;
+
+import coralcove.numbers.Destination;
+import coralcove.numbers.Digits;
+import coralcove.numbers.HoursCheck;
+import coralcove.numbers.NumberTable;
+import coralcove.numbers.Porting;
+import coralcove.numbers.Search;
+import coralcove.numbers.file.TableReader;
+import java.io.IOException;
+import java.nio.file.Path;
+import java.time.DateTimeException;
+import java.time.Instant;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.concurrent.Callable;
+import java.util.function.IntPredicate;
+import picocli.CommandLine;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Option;
+import picocli.CommandLine.Parameters;
+
+/** Tables of numbers on the command line. */
+@Command(name = "numbers", mixinStandardHelpOptions = true, description = "Checks, explains and compares tables of numbers.",
+        subcommands = {NumbersCommand.Build.class, NumbersCommand.Look.class, NumbersCommand.Diff.class,
+            NumbersCommand.Stats.class},
+        footer = {"", "Examples:", "  coralcove numbers build deploy/examples/numbers.table --far-ends 0-1",
+            "  coralcove numbers look deploy/examples/numbers.table 011-12345 --at 2026-11-30T03:00:00Z"})
+final class NumbersCommand implements Runnable {
+    @CommandLine.Spec
+    private CommandLine.Model.CommandSpec spec;
+
+    @Override
+    public void run() {
+        throw new CommandLine.ParameterException(spec.commandLine(), "a command is missing");
+    }
+
+    /** Which far ends there are, for the check. */
+    static final class FarEnds {
+        @Option(names = "--far-ends", paramLabel = "A-B", description = "the far ends there are; else all are taken")
+        private String range;
+
+        IntPredicate known() {
+            if (range == null) {
+                return n -> true;
+            }
+            if (!range.matches("\\d{1,5}-\\d{1,5}")) {
+                throw new IllegalArgumentException("--far-ends is A-B, two numbers");
+            }
+            String[] ends = range.split("-");
+            return n -> n >= Integer.parseInt(ends[0]) && n <= Integer.parseInt(ends[1]);
+        }
+    }
+
+    /** A bad file ends the command with its line. */
+    static NumberTable read(Path path, IntPredicate known) throws IOException {
+        try {
+            return TableReader.table(path, known);
+        } catch (TableReader.Bad e) {
+            throw new IOException(e.getMessage(), e);
+        }
+    }
+
+    private static long now() {
+        return System.currentTimeMillis() * 1000;
+    }
+
+    private static String plain(Destination to) {
+        return to == null ? "nothing" : to.toString();
+    }
+
+    @Command(name = "build", mixinStandardHelpOptions = true,
+            description = "Reads a table, with changes if given, and tells what is wrong: exit 1 if it cannot serve.")
+    static final class Build implements Callable<Integer> {
+        @Parameters(paramLabel = "TABLE", description = "the table's file")
+        private Path path;
+        @Option(names = "--changes", paramLabel = "FILE", description = "changes to be made to it")
+        private Path changes;
+        @CommandLine.Mixin
+        private FarEnds farEnds;
+
+        @Override
+        public Integer call() throws IOException {
+            long start = System.nanoTime();
+            NumberTable table = read(path, farEnds.known());
+            System.out.printf("table %d: %d prefixes, %d destinations, %d calendars, %.0f ms%n", table.version(),
+                    table.trie().size(), table.destinations(), table.calendars().size(), (System.nanoTime() - start) / 1e6);
+            if (changes != null) {
+                long edit = System.nanoTime();
+                try {
+                    TableReader.Changes read = TableReader.changes(changes, table, farEnds.known());
+                    if (read.after() != table.version()) {
+                        throw new IOException(changes + ": made for version " + read.after());
+                    }
+                    table = table.edited(read.version(), read.list());
+                    System.out.printf("table %d: %d changes, %.1f ms%n", table.version(), read.list().size(),
+                            (System.nanoTime() - edit) / 1e6);
+                } catch (TableReader.Bad e) {
+                    throw new IOException(e.getMessage(), e);
+                }
+            }
+            HoursCheck.of(table, now()).forEach(each -> System.out.println("warning: " + each));
+            return 0;
+        }
+    }
+
+    @Command(name = "look", mixinStandardHelpOptions = true, description = "Tells step by step where a number goes and why.")
+    static final class Look implements Callable<Integer> {
+        @Parameters(index = "0", paramLabel = "TABLE", description = "the table's file")
+        private Path path;
+        @Parameters(index = "1", paramLabel = "NUMBER", description = "what is dialled")
+        private String dialled;
+        @Option(names = "--at", paramLabel = "TIME", description = "a moment, as 2026-11-30T03:00:00Z; else now")
+        private String at;
+        @Option(names = "--service", paramLabel = "N", defaultValue = "0", description = "the service (default 0)")
+        private int service;
+        @Option(names = "--routing", paramLabel = "DIGITS",
+                description = "what the portability server would say; else the number counts as not moved")
+        private String routing;
+
+        @Override
+        public Integer call() throws IOException {
+            NumberTable table = read(path, n -> true);
+            long now;
+            try {
+                now = at == null ? now() : Instant.parse(at).getEpochSecond() * 1_000_000;
+            } catch (DateTimeException e) {
+                throw new IOException("--at " + at + " is no moment as 2026-11-30T03:00:00Z");
+            }
+            Porting porting = new Porting(new Porting.Settings(1_000_000, 1, 0, 10, 10, 10));
+            Search search = new Search(table, 1, dialled, service, now + 60_000_000);
+            Search.Step step = search.next(now, porting);
+            boolean first = true;
+            while (step instanceof Search.Wait wait) {
+                boolean moved = first && routing != null;
+                porting.ended(now, wait.number(), moved ? Porting.Outcome.MOVED : Porting.Outcome.NOT_MOVED,
+                        moved ? Digits.pack(routing) : 0, 60_000_000);
+                first = false;
+                step = search.resume(now, porting);
+            }
+            System.out.println("table " + table.version());
+            search.steps().forEach(each -> System.out.println("  " + each));
+            if (step instanceof Search.Route route) {
+                System.out.println("goes to far end " + route.farEnd() + (route.until() == Long.MAX_VALUE ? ""
+                        : " until " + Instant.ofEpochSecond(route.until() / 1_000_000)));
+            } else if (step instanceof Search.Refused no) {
+                System.out.println("is refused: " + no.status() + " " + no.reason()
+                        + (no.number().isEmpty() ? "" : ", now " + no.number()));
+            }
+            return 0;
+        }
+    }
+
+    @Command(name = "diff", mixinStandardHelpOptions = true,
+            description = "Writes the changes that make one table of another, as a file of changes.")
+    static final class Diff implements Callable<Integer> {
+        @Parameters(index = "0", paramLabel = "FROM", description = "the older table's file")
+        private Path from;
+        @Parameters(index = "1", paramLabel = "TO", description = "the newer table's file")
+        private Path to;
+
+        @Override
+        public Integer call() throws IOException {
+            NumberTable old = read(from, n -> true);
+            NumberTable now = read(to, n -> true);
+            if (!old.rules().equals(now.rules()) || !old.calendars().equals(now.calendars())) {
+                System.out.println("# rules or calendars differ: changes cannot carry that, the whole table can");
+            }
+            System.out.println("changes " + now.version() + " after " + old.version());
+            int[] count = {0};
+            old.trie().each((key, value) -> {
+                if (now.trie().get(key) == 0) {
+                    System.out.println("drop " + name(key));
+                    count[0]++;
+                }
+            });
+            now.trie().each((key, value) -> {
+                int before = old.trie().get(key);
+                Destination goes = now.destination(value);
+                if (before == 0 || !old.destination(before).equals(goes)) {
+                    System.out.println("put " + name(key) + " " + text(goes) + (before == 0 ? "" : "  # was "
+                            + text(old.destination(before))));
+                    count[0]++;
+                }
+            });
+            System.out.println("end " + count[0]);
+            return 0;
+        }
+    }
+
+    private static String name(long key) {
+        return key == 0 ? "*" : Digits.text(key);
+    }
+
+    /** As a table's file has it. */
+    private static String text(Destination to) {
+        if (to instanceof Destination.FarEnd far) {
+            return "to " + far.number() + (far.services().isEmpty() ? "" : " services "
+                    + far.services().toString().replaceAll("[\\[\\] ]", ""));
+        }
+        if (to instanceof Destination.Changed changed) {
+            return "changed " + changed.to();
+        }
+        if (to instanceof Destination.Ported ported) {
+            return "ported " + ported.donor();
+        }
+        if (to instanceof Destination.ByHours hours) {
+            StringBuilder all = new StringBuilder("hours ");
+            hours.choices().forEach(each -> all.append(each.calendar()).append(' ').append(text(each.to())).append("; "));
+            return hours.otherwise() == null ? all.substring(0, all.length() - 2) : all + "else " + text(hours.otherwise());
+        }
+        return to instanceof Destination.Blocked ? "blocked" : "unallocated";
+    }
+
+    @Command(name = "stats", mixinStandardHelpOptions = true, description = "Counts a table's prefixes and what it takes.")
+    static final class Stats implements Callable<Integer> {
+        @Parameters(paramLabel = "TABLE", description = "the table's file")
+        private Path path;
+
+        @Override
+        public Integer call() throws IOException {
+            NumberTable table = read(path, n -> true);
+            Map<String, Integer> kinds = new TreeMap<>();
+            Map<Integer, Integer> lengths = new TreeMap<>();
+            table.trie().each((key, value) -> {
+                kinds.merge(table.destination(value).getClass().getSimpleName(), 1, Integer::sum);
+                lengths.merge(Digits.length(key), 1, Integer::sum);
+            });
+            System.out.println("table " + table.version());
+            System.out.println("prefixes " + table.trie().size() + ", " + table.trie().bytes() + " bytes, "
+                    + table.trie().bytes() / Math.max(1, table.trie().size()) + " a prefix");
+            kinds.forEach((kind, count) -> System.out.println("  " + kind + " " + count));
+            lengths.forEach((length, count) -> System.out.println("  of " + length + " digits " + count));
+            return 0;
+        }
+    }
+}
--- a/src/main/java/coralcove/edge/EdgeCore.java
+++ b/src/main/java/coralcove/edge/EdgeCore.java
@@ -8,6 +8,9 @@
 import coralcove.Exchange.Phase;
 import coralcove.Session;
 import coralcove.Waiting;
+import coralcove.numbers.NumberTable;
+import coralcove.numbers.Porting;
+import coralcove.numbers.Search;
 import coralcove.protocol.CallHeaders;
 import coralcove.protocol.Outcomes;
 import coralcove.protocol.Refusal;
@@ -27,7 +30,9 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.TreeMap;
+import java.util.stream.Collectors;
 
 /**
  * One call router: it tells the module what happens and does what the module decides. Back to back user agent:
@@ -39,24 +44,33 @@
     private static final String BUSY = "Temporarily Unavailable";
     /** Bytes: a peer message longer than this is dropped and counted (the module's own bound is 256). */
     private static final int LONGEST_NEWS = 512;
+    /** µs between two looks for what is remembered of moved numbers and of no use any more. */
+    private static final long SWEEP = 60_000_000;
 
     /** A session or a call for the own lines, from its INVITE until nothing more can come for it. */
     private static final class Held {
         final long id;
         final Call in;
-        final CallHeaders headers;
-        final Session session;
+        final long arrived;
+        final long limit;
+        CallHeaders headers;
+        /** Null for a call to the own lines, and while the far end is not known yet. */
+        Session session;
+        /** The way from the dialled number to the far end; null where the caller names the far end. */
+        Search search;
+        boolean holdsTable;
         Leg leg;
         Timers.Timer later;
         Cause last = Cause.NONE;
         boolean answered;
         boolean circuitsIn;
 
-        Held(long id, Call in, CallHeaders headers, Session session) {
+        Held(long id, Call in, CallHeaders headers, long arrived, long limit) {
             this.id = id;
             this.in = in;
             this.headers = headers;
-            this.session = session;
+            this.arrived = arrived;
+            this.limit = limit;
         }
     }
 
@@ -98,6 +112,9 @@
     private Timers.Timer wake;
     private long wakeAt;
     private boolean stopping;
+    private NumberDesk numbers;
+    /** The numbers in the roster, for the checks of tables on other threads. */
+    private volatile Set<Integer> farEnds = Set.of();
     /** Whether the whole list has been asked for after a gap and has not come yet. */
     private boolean fetching;
 
@@ -125,6 +142,9 @@
     @Override
     public void start(long now, Out out) {
         subscribe(now, "trunk-groups", settings.exchange(), out);
+        if (numbers != null) {
+            timers.set(now + SWEEP, this::sweep);
+        }
         rest(now, out);
     }
 
@@ -185,8 +205,13 @@
             agent.reject(now, call, 400, "Bad Request", out, "Warning", "399 coralcove \"" + quoted(e) + "\"");
             return;
         }
-        boolean mine = headers.farEnd() == settings.number();
-        if (!mine && roster.values().stream().noneMatch(p -> p.exchange.number() == headers.farEnd())) {
+        boolean dialled = headers.farEnd() < 0;
+        if (dialled && numbers == null) {
+            agent.count("bad-invite");
+            agent.reject(now, call, 400, "Bad Request", out, "Warning", "399 coralcove \"X-Far-End is missing\"");
+            return;
+        }
+        if (!dialled && !reachable(headers.farEnd())) {
             agent.count("404");
             agent.reject(now, call, 404, "Not Found", out);
             return;
@@ -209,26 +234,141 @@
             return;
         }
         long limit = now + Math.max(0, headers.left() - settings.answerMargin());
-        long id = nextId++;
-        Session session = mine ? null : new Session(id, headers.service(), 0, headers.farEnd(), headers.width(), -1,
-                trunk, digits(headers.number()), headers.redial(), headers.cut(), now, limit);
-        Held held = new Held(id, call, headers, session);
+        Held held = new Held(nextId++, call, headers, now, limit);
         call.owner(held);
-        open.put(id, held);
+        open.put(held.id, held);
         if (!call.sessionId().isEmpty()) {
             bySession.put(call.sessionId(), held);
         }
         unanswered++;
-        out.log(mine ? "arrived" : trunk ? "transit" : "session", call.sessionId(), "far end " + headers.farEnd());
         if (trunk) {
             trunks.seizeIn(headers.origin(), headers.width());
             held.circuitsIn = true;
             circuits(now, headers.origin());
         }
-        if (mine) {
-            deliver(now, held, limit, out);
+        if (dialled) {
+            held.search = new Search(numbers.tables.enter(), held.id, headers.number(), headers.service(), limit);
+            held.holdsTable = true;
+            follow(now, held, held.search.next(now, numbers.porting), out);
         } else {
-            carryOut(now, held, router.route(now, session), out);
+            begin(now, held, out);
+        }
+    }
+
+    private boolean reachable(int farEnd) {
+        return farEnd == settings.number()
+                || roster.values().stream().anyMatch(p -> p.exchange.number() == farEnd);
+    }
+
+    /** Whether the directory lists this far end, or has not told yet; asked from any thread. */
+    public boolean mayReach(int farEnd) {
+        Set<Integer> all = farEnds;
+        return all.isEmpty() || farEnd == settings.number() || all.contains(farEnd);
+    }
+
+    /** The far end is known: the module is asked, but for a call to the own lines. */
+    private void begin(long now, Held held, Out out) {
+        CallHeaders headers = held.headers;
+        boolean mine = headers.farEnd() == settings.number();
+        boolean trunk = headers.origin() >= 0;
+        out.log(mine ? "arrived" : trunk ? "transit" : "session", held.in.sessionId(), "far end " + headers.farEnd());
+        if (mine) {
+            deliver(now, held, held.limit, out);
+            return;
+        }
+        held.session = new Session(held.id, headers.service(), 0, headers.farEnd(), headers.width(), -1, trunk,
+                digits(headers.number()), headers.redial(), headers.cut(), held.arrived, held.limit);
+        carryOut(now, held, router.route(now, held.session), out);
+    }
+
+    // ---- dialled numbers
+
+    /** Makes far ends of dialled numbers from now on; told before the start. */
+    public void numbers(NumberDesk desk) {
+        numbers = desk;
+    }
+
+    private void sweep(long now, Out out) {
+        numbers.porting.sweep(now);
+        timers.set(now + SWEEP, this::sweep);
+    }
+
+    private void follow(long now, Held held, Search.Step step, Out out) {
+        String id = held.in.sessionId();
+        String table = "table " + held.search.version();
+        if (step instanceof Search.Route route) {
+            out.log("far-end", id, table + " number " + route.number() + " far end " + route.farEnd());
+            held.headers = held.headers.to(route.farEnd());
+            if (reachable(route.farEnd())) {
+                begin(now, held, out);
+            } else {
+                agent.count("404");
+                answer(now, held, 404, "Not Found", out);
+            }
+        } else if (step instanceof Search.Refused no) {
+            out.log("no-far-end", id, table + " " + no.status());
+            agent.count(Integer.toString(no.status()));
+            if (no.number().isEmpty()) {
+                answer(now, held, no.status(), no.reason(), out);
+            } else {
+                answer(now, held, no.status(), no.reason(), out, "Contact", "<tel:" + no.number() + ">");
+            }
+        } else if (step instanceof Search.Wait wait) {
+            out.log("portability", id, table + (wait.ask() ? " asks" : " waits"));
+            held.later = timers.set(wait.until(), (at, o) -> resume(at, held, o));
+            if (wait.ask()) {
+                numbers.asker.ask(now, wait.number());
+            }
+        }
+    }
+
+    private void resume(long now, Held held, Out out) {
+        if (!held.answered && !held.search.over()) {
+            timers.cancel(held.later);
+            follow(now, held, held.search.resume(now, numbers.porting), out);
+        }
+    }
+
+    /** The portability server's answer, or that there is none; {@code life} in µs. */
+    public void ported(long now, long number, Porting.Outcome outcome, long routing, long life, Out out) {
+        for (long id : numbers.porting.ended(now, number, outcome, routing, life)) {
+            Held held = open.get(id);
+            if (held != null) {
+                resume(now, held, out);
+            }
+        }
+        rest(now, out);
+    }
+
+    /** Puts a table in service; one that is not newer is logged and left. */
+    public void replace(long now, NumberTable table, Out out) {
+        List<Long> gone;
+        try {
+            gone = numbers.tables.replace(table);
+        } catch (IllegalArgumentException e) {
+            out.log("table-refused", "", e.getMessage());
+            return;
+        }
+        out.log("table", "", "version " + table.version() + ", " + numbers.tables.count() + " kept");
+        if (!gone.isEmpty()) {
+            for (Held held : List.copyOf(open.values())) {
+                if (held.holdsTable && !held.search.over() && gone.contains(held.search.version())) {
+                    timers.cancel(held.later);
+                    held.search.gone(numbers.porting);
+                    held.search.restart(numbers.tables.enter());
+                    follow(now, held, held.search.next(now, numbers.porting), out);
+                }
+            }
+        }
+        rest(now, out);
+    }
+
+    /** A session with its final answer tries nothing more: it needs its table no longer. */
+    private void leaveTable(Held held) {
+        if (held.holdsTable) {
+            held.holdsTable = false;
+            held.search.gone(numbers.porting);
+            numbers.tables.leave(held.search.version());
         }
     }
 
@@ -364,6 +504,7 @@
             unanswered--;
         }
         timers.cancel(held.later);
+        leaveTable(held);
         if (held.circuitsIn) {
             held.circuitsIn = false;
             trunks.freeIn(held.headers.origin(), held.headers.width());
@@ -388,6 +529,7 @@
         timers.cancel(leg.limit);
         held.answered = true;
         unanswered--;
+        leaveTable(held);
         out.log("stands", held.in.sessionId(), (now - leg.sentAt) / 1000 + " ms");
         agent.answer(now, held.in, response, out);
         if (held.session != null) {
@@ -648,6 +790,7 @@
         }
         router.roster(now, full, (full ? roster.values() : places).stream().map(p -> roster.get(p.exchange.id()).exchange)
                 .toList());
+        farEnds = roster.values().stream().map(p -> p.exchange.number()).collect(Collectors.toUnmodifiableSet());
         toldCircuits.clear();
         trunks.numbers().forEach(number -> circuits(now, number));
         out.log("roster", "", "version " + version + (full ? " full" : "") + " " + places.size() + " lines");
--- a/src/main/java/coralcove/edge/EdgeFile.java
+++ b/src/main/java/coralcove/edge/EdgeFile.java
@@ -9,8 +9,8 @@
 import java.util.ArrayList;
 import java.util.List;
 
-/** Reads a call router's settings file (docs/operating.md lists its keys). */
-public record EdgeFile(EdgeSettings settings, String policy) {
+/** Reads a call router's settings file (docs/operating.md lists its keys); {@code numbers} is null without the table. */
+public record EdgeFile(EdgeSettings settings, String policy, NumbersFile numbers) {
     public static EdgeFile of(Toml toml) throws BadConfig {
         Toml.Table edge = toml.table("edge");
         int number = edge.whole("number", 0, 65_535);
@@ -49,7 +49,8 @@
                 settings.exchange().host())) {
             throw edge.bad("exchange", "is the router's own address");
         }
+        NumbersFile numbers = toml.has("numbers") ? NumbersFile.of(toml.table("numbers")) : null;
         toml.nothingElse();
-        return new EdgeFile(settings, policy);
+        return new EdgeFile(settings, policy, numbers);
     }
 }
--- a/src/main/java/coralcove/exchange/ExchangeCore.java
+++ b/src/main/java/coralcove/exchange/ExchangeCore.java
@@ -427,10 +427,12 @@
     private void ask(long now, Caller caller, long left, Out out) {
         Arrival arrival = caller.arrival;
         stats.sessions++;
-        SipMessage invite = agent.request("INVITE", SipUri.text(Long.toString(arrival.number()), settings.edge()));
+        boolean dials = !arrival.dialled().isEmpty();
+        String number = dials ? arrival.dialled() : Long.toString(arrival.number());
+        SipMessage invite = agent.request("INVITE", SipUri.text(number, settings.edge()));
         boolean redial = settings.callers().marksRedials() && caller.tries > 1;
         CallHeaders headers = new CallHeaders(arrival.service(), caller.service.value(), caller.service.width(),
-                redial, false, arrival.farEnd(), -1, left, Long.toString(arrival.number()));
+                redial, false, dials ? -1 : arrival.farEnd(), -1, left, number);
         CallHeaders.write(invite, headers, -1, left, sessionId());
         caller.call = agent.invite(now, invite, settings.edge(), caller, out);
     }
--- a/src/main/java/coralcove/network/Inbox.java
+++ b/src/main/java/coralcove/network/Inbox.java
@@ -79,6 +79,13 @@
         return input;
     }
 
+    /** The next answer that waits, null where none does: what was read before a timer ran out counts before it. */
+    synchronized Input answer() {
+        Input input = answers.poll();
+        bytes -= input == null || input.bytes == null ? 0 : input.bytes.length;
+        return input;
+    }
+
     /** Asked by the node's thread alone, as {@link Gate} keeps no lock. */
     synchronized Gate.Verdict look(long now, Input input, boolean repeat) {
         return gate.look(now, now - input.at, repeat);
--- a/src/main/java/coralcove/network/LiveNetwork.java
+++ b/src/main/java/coralcove/network/LiveNetwork.java
@@ -26,6 +26,8 @@
     private static final long LONGEST_NAP = 100_000;
     /** Inputs taken between two looks at the timers. */
     private static final int BATCH = 64;
+    /** Answers taken before the timers at most, so that a flood of them puts no timer off for long. */
+    private static final int ANSWERS = 5000;
 
     private static final long STARTED = System.currentTimeMillis() * 1000 - System.nanoTime() / 1000;
 
@@ -65,6 +67,7 @@
                     }
                     if (alive && (input == null || ++looked >= BATCH) && core.due() <= now()) {
                         looked = 0;
+                        settle();
                         core.tick(now(), this);
                     }
                 } catch (InterruptedException e) {
@@ -75,6 +78,17 @@
             }
         }
 
+        /** An INVITE whose answer lay in the inbox was sent again when its timer was looked at first. */
+        private void settle() {
+            for (int i = 0; i < ANSWERS && alive; i++) {
+                Inbox.Input answer = inbox.answer();
+                if (answer == null) {
+                    return;
+                }
+                look(answer);
+            }
+        }
+
         private void look(Inbox.Input input) {
             long now = now();
             if (input.act() != null) {
--- a/src/main/java/coralcove/protocol/CallHeaders.java
+++ b/src/main/java/coralcove/protocol/CallHeaders.java
@@ -9,13 +9,17 @@
 /** The stated headers of a session's INVITE (docs/protocol.md), read and written in one place. */
 public record CallHeaders(int service, double value, int width, boolean redial, boolean cut, int farEnd, int origin,
         long left, String number) {
-    /** Reads them; a missing or impossible one throws with the header's name. {@code origin} is -1 off a trunk. */
+    /**
+     * Reads them; a missing or impossible one throws with the header's name. {@code origin} is -1 off a trunk, and
+     * {@code farEnd} is -1 where only a number was dialled, which is never so on a trunk.
+     */
     public static CallHeaders of(SipMessage invite, int services) {
         Params service = Params.of(need(invite, "X-Service"));
         int index = number("X-Service", service.value(), 0, services - 1);
         int width = number("X-Service", service.get("width", "1"), 1, 64);
-        int farEnd = number("X-Far-End", need(invite, "X-Far-End"), 0, 65_535);
         String origin = invite.header("X-Origin");
+        boolean dialled = origin == null && invite.header("X-Far-End") == null;
+        int farEnd = dialled ? -1 : number("X-Far-End", need(invite, "X-Far-End"), 0, 65_535);
         String exact = invite.header("X-Time-Left");
         long left = exact != null ? micros(exact) : 1_000_000L * number("Expires", need(invite, "Expires"), 0, 3600);
         SipUri uri = SipUri.of(invite.uri());
@@ -32,6 +36,11 @@
                 origin == null ? -1 : number("X-Origin", origin, 0, 65_535), left, uri.user());
     }
 
+    /** The same to this far end. */
+    public CallHeaders to(int known) {
+        return new CallHeaders(service, value, width, redial, cut, known, origin, left, number);
+    }
+
     private static String need(SipMessage message, String name) {
         String value = message.header(name);
         if (value == null) {
@@ -82,11 +91,13 @@
         }
     }
 
-    /** Writes them into an INVITE; {@code origin} below 0 is left out. */
+    /** Writes them into an INVITE; {@code origin} or far end below 0 is left out. */
     public static SipMessage write(SipMessage invite, CallHeaders it, int origin, long left, String sessionId) {
         invite.add("X-Service", it.service + ";value=" + it.value + ";width=" + it.width
                 + (it.redial ? ";redial" : "") + (it.cut ? ";cut" : ""));
-        invite.add("X-Far-End", Integer.toString(it.farEnd));
+        if (it.farEnd >= 0) {
+            invite.add("X-Far-End", Integer.toString(it.farEnd));
+        }
         if (origin >= 0) {
             invite.add("X-Origin", Integer.toString(origin));
         }
--- a/src/main/java/coralcove/rehearsal/Day.java
+++ b/src/main/java/coralcove/rehearsal/Day.java
@@ -3,6 +3,7 @@
 import coralcove.Settings;
 import coralcove.exchange.Arrival;
 import coralcove.exchange.ExchangeSettings;
+import coralcove.numbers.Porting;
 import coralcove.judge.Rules;
 import coralcove.network.VirtualNetwork.Weather;
 import java.util.ArrayList;
@@ -15,11 +16,20 @@
 public record Day(String name, long length, int[] zones, int[][] groups, List<List<Arrival>> arrivals,
         List<Service> services, ExchangeSettings.Work work, double[] speeds, ExchangeSettings.Callers callers, int hotLines,
         Late late, Rules rules, Router router, Weather weather, String transport, List<Trouble> troubles,
-        List<String> unmapped) {
+        List<String> unmapped, Numbers numbers) {
 
     public record Service(String name, long target, long limit, double value, double lateValue, int width,
             long hold) {}
 
+    /**
+     * Callers dial numbers, which the routers make far ends of; null where callers name the far end. {@code ported} is
+     * the share of numbers that only the portability server knows, {@code lines} how many of them each exchange has,
+     * {@code beside} the prefixes of the table that nobody calls; a new table comes each {@code replaceEvery} µs, 0 for
+     * never. The server answers after {@code serverDelay} µs or so, for {@code life} seconds.
+     */
+    public record Numbers(double ported, int lines, int beside, long replaceEvery, long serverDelay, long life,
+            int mostTables, Porting.Settings porting) {}
+
     /** How late the directory's news is, µs. */
     public record Late(long notice, long silence, long add) {}
 
--- a/src/main/java/coralcove/rehearsal/DayFile.java
+++ b/src/main/java/coralcove/rehearsal/DayFile.java
@@ -1,6 +1,8 @@
 package coralcove.rehearsal;
 
 import coralcove.config.BadConfig;
+import coralcove.edge.NumbersFile;
+import coralcove.exchange.Arrival;
 import coralcove.config.ServiceTable;
 import coralcove.config.Toml;
 import coralcove.exchange.ExchangeSettings;
@@ -83,9 +85,26 @@
                 net.millis("cross_ms", 0.001, 1000, 5), net.number("jitter", 0, 0.9, 0.1), net.number("loss", 0, 0.9, 0),
                 net.number("doubled", 0, 0.9, 0), net.number("reordered", 0, 0.9, 0), net.number("reset", 0, 0.5, 0));
         String transport = net.oneOf("transport", List.of("udp", "tcp", "mixed"), "udp");
+        Day.Numbers numbers = toml.has("numbers") ? numbers(toml.table("numbers")) : null;
+        if (numbers == null && troubles.stream().anyMatch(t -> t.kind().startsWith("portability"))) {
+            throw toml.table("numbers").bad("ported", "is missing, and a trouble of the portability server needs it");
+        }
         toml.nothingElse();
-        return new Day(name, length, zones, groups, drawn.draw(rates), services, work, speeds, habits, hotLines,
-                lateness, rules, router, weather, transport, troubles, List.of());
+        List<List<Arrival>> arrivals = drawn.draw(rates);
+        if (numbers != null) {
+            DialPlan dials = new DialPlan(n, numbers);
+            arrivals = arrivals.stream().map(list -> list.stream().map(a -> new Arrival(a.at(), a.service(), a.farEnd(),
+                    a.number(), a.hold(), dials.dial(a.farEnd(), chance))).toList()).toList();
+        }
+        return new Day(name, length, zones, groups, arrivals, services, work, speeds, habits, hotLines,
+                lateness, rules, router, weather, transport, troubles, List.of(), numbers);
+    }
+
+    private static Day.Numbers numbers(Toml.Table table) throws BadConfig {
+        return new Day.Numbers(table.number("ported", 0, 1, 0), table.whole("lines", 1, 100_000, 1000),
+                table.whole("beside", 0, 5_000_000, 0), table.seconds("replace_s", 0, 3600, 0),
+                table.millis("server_ms", 0.001, 10_000, 4), table.whole("life_s", 1, 86_400, 300),
+                table.whole("most_tables", 1, 100, 4), NumbersFile.porting(table));
     }
 
     private static List<Trouble> troubles(Toml toml, int n, long length) throws BadConfig {
--- a/src/main/java/coralcove/rehearsal/Result.java
+++ b/src/main/java/coralcove/rehearsal/Result.java
@@ -7,9 +7,13 @@
 import java.util.Map;
 import org.HdrHistogram.Histogram;
 
-/** What a rehearsal came to: what the callers saw, and what the judge found. */
+/**
+ * What a rehearsal came to: what the callers saw, and what the judge found. {@code cpu} is the processor time of the
+ * whole process in µs, stand-ins and judge too; 0 in virtual time. {@code numbers} counts what became of
+ * ported numbers at all routers: answered from memory, asked for, answered past their lifetime, sent to the donor.
+ */
 public record Result(String day, String policy, long seed, boolean virtual, double seconds, double offered, Stats stats,
-        Histogram added, Map<String, Verdict> rules) {
+        Histogram added, long cpu, Map<String, Verdict> rules, long[] numbers) {
     public double share() {
         return offered == 0 ? 0 : stats.valueServed / offered;
     }
@@ -27,8 +31,15 @@
         out.put("value_offered", round(offered)).put("value_served", round(stats.valueServed));
         out.put("sessions_per_second", round(stats.sessions / seconds));
         out.put("added_p50_us", added.getValueAtPercentile(50)).put("added_p99_us", added.getValueAtPercentile(99));
+        out.put("added_p999_us", added.getValueAtPercentile(99.9));
         out.put("set_up_p50_us", stats.setUp.getValueAtPercentile(50));
         out.put("set_up_p99_us", stats.setUp.getValueAtPercentile(99));
+        out.put("set_up_p999_us", stats.setUp.getValueAtPercentile(99.9));
+        out.put("cpu_us_a_session", stats.sessions == 0 ? 0 : cpu / stats.sessions);
+        if (numbers.length > 0) {
+            out.putObject("ported").put("remembered", numbers[0]).put("asked", numbers[1]).put("stale", numbers[2])
+                    .put("donor", numbers[3]);
+        }
         ObjectNode all = out.putObject("rules");
         rules.forEach((name, verdict) -> all.putObject(name).put("checked", verdict.checked())
                 .put("broken", verdict.broken()));
--- a/src/test/java/coralcove/judge/JudgeTest.java
+++ b/src/test/java/coralcove/judge/JudgeTest.java
@@ -120,6 +120,19 @@
                 .broken("one_invite");
     }
 
+    /** The answer was on the socket when the INVITE was sent again, and the router had not looked at it yet. */
+    @Test
+    void anInviteThatCrossesItsAnswerIsNoSecondOne() {
+        session(0).wrote(1, invite("o", "s", 1000)).reply(500, "o", 503, 42).wrote(502, invite("o", "s", 1000))
+                .answer(600, 480, "a").broken("");
+    }
+
+    @Test
+    void anInviteSentAgainLongAfterItsAnswer() {
+        session(0).wrote(1, invite("o", "s", 1000)).reply(500, "o", 503, 42).wrote(512, invite("o", "s", 1000))
+                .answer(600, 480, "a").broken("one_invite");
+    }
+
     @Test
     void aResendAMillisecondInsideTheReleaseWait() {
         session(0).wrote(1, invite("o", "s", 100)).wrote(101, message("CANCEL", "o", "s"))
