Test dialled numbers at a whole router, the resolver on sockets, table files and the command line

Change: traces of a whole router with a scripted module; destinations are written as the table's file has them.

--- a/src/main/java/coralcove/cli/NumbersCommand.java
+++ b/src/main/java/coralcove/cli/NumbersCommand.java
@@ -65,10 +65,6 @@
         return System.currentTimeMillis() * 1000;
     }
 
-    private static String plain(Destination to) {
-        return to == null ? "nothing" : to.toString();
-    }
-
     @Command(name = "build", mixinStandardHelpOptions = true,
             description = "Reads a table, with changes if given, and tells what is wrong: exit 1 if it cannot serve.")
     static final class Build implements Callable<Integer> {
@@ -178,8 +174,8 @@
                 int before = old.trie().get(key);
                 Destination goes = now.destination(value);
                 if (before == 0 || !old.destination(before).equals(goes)) {
-                    System.out.println("put " + name(key) + " " + text(goes) + (before == 0 ? "" : "  # was "
-                            + text(old.destination(before))));
+                    System.out.println("put " + name(key) + " " + goes.text() + (before == 0 ? "" : "  # was "
+                            + old.destination(before).text()));
                     count[0]++;
                 }
             });
@@ -192,26 +188,6 @@
         return key == 0 ? "*" : Digits.text(key);
     }
 
-    /** As a table's file has it. */
-    private static String text(Destination to) {
-        if (to instanceof Destination.FarEnd far) {
-            return "to " + far.number() + (far.services().isEmpty() ? "" : " services "
-                    + far.services().toString().replaceAll("[\\[\\] ]", ""));
-        }
-        if (to instanceof Destination.Changed changed) {
-            return "changed " + changed.to();
-        }
-        if (to instanceof Destination.Ported ported) {
-            return "ported " + ported.donor();
-        }
-        if (to instanceof Destination.ByHours hours) {
-            StringBuilder all = new StringBuilder("hours ");
-            hours.choices().forEach(each -> all.append(each.calendar()).append(' ').append(text(each.to())).append("; "));
-            return hours.otherwise() == null ? all.substring(0, all.length() - 2) : all + "else " + text(hours.otherwise());
-        }
-        return to instanceof Destination.Blocked ? "blocked" : "unallocated";
-    }
-
     @Command(name = "stats", mixinStandardHelpOptions = true, description = "Counts a table's prefixes and what it takes.")
     static final class Stats implements Callable<Integer> {
         @Parameters(paramLabel = "TABLE", description = "the table's file")
--- a/src/main/java/coralcove/numbers/Destination.java
+++ b/src/main/java/coralcove/numbers/Destination.java
@@ -24,4 +24,24 @@
 
     /** One calendar, by its name, and where numbers go while it is open: never again by hours. */
     record Choice(String calendar, Destination to) {}
+
+    /** As a table's file has it. */
+    default String text() {
+        if (this instanceof FarEnd far) {
+            return "to " + far.number + (far.services.isEmpty() ? "" : " services "
+                    + far.services.toString().replaceAll("[\\[\\] ]", ""));
+        }
+        if (this instanceof Changed changed) {
+            return "changed " + changed.to;
+        }
+        if (this instanceof Ported ported) {
+            return "ported " + ported.donor;
+        }
+        if (this instanceof ByHours hours) {
+            StringBuilder all = new StringBuilder("hours ");
+            hours.choices.forEach(each -> all.append(each.calendar).append(' ').append(each.to.text()).append("; "));
+            return hours.otherwise == null ? all.substring(0, all.length() - 2) : all + "else " + hours.otherwise.text();
+        }
+        return this instanceof Blocked ? "blocked" : "unallocated";
+    }
 }
--- a/src/main/java/coralcove/numbers/HoursCheck.java
+++ b/src/main/java/coralcove/numbers/HoursCheck.java
@@ -45,7 +45,7 @@
             String what = open.size() > 1 ? "overlap of " + String.join(" and ", open) + ", the first counts"
                     : open.isEmpty() && hours.otherwise() == null ? "gap: no calendar is open and nothing else is said" : "";
             if (!what.isEmpty() && found.add(what)) {
-                told.add("from " + Instant.ofEpochSecond(at / 1_000_000) + ": " + what + " (" + hours + ")");
+                told.add("from " + Instant.ofEpochSecond(at / 1_000_000) + ": " + what + " (" + hours.text() + ")");
             }
             if (next == Hours.NEVER) {
                 break;
--- a/src/main/java/coralcove/numbers/Search.java
+++ b/src/main/java/coralcove/numbers/Search.java
@@ -113,7 +113,7 @@
         }
         Destination to = table.destination((int) longest);
         String prefix = Digits.text(Digits.head(number, (int) (longest >>> 32)));
-        steps.add("prefix " + (prefix.isEmpty() ? "*" : prefix) + ": " + to);
+        steps.add("prefix " + (prefix.isEmpty() ? "*" : prefix) + ": " + to.text());
         return follow(now, porting, to, Hours.NEVER);
     }
 
--- a/src/test/java/coralcove/edge/EdgeDesk.java
+++ b/src/test/java/coralcove/edge/EdgeDesk.java
@@ -11,6 +11,9 @@
 import coralcove.Session;
 import coralcove.Settings;
 import coralcove.Waiting;
+import coralcove.numbers.Digits;
+import coralcove.numbers.NumberTable;
+import coralcove.numbers.Porting;
 import coralcove.sip.BadMessage;
 import coralcove.sip.Hop;
 import coralcove.sip.Out;
@@ -96,6 +99,40 @@
         return take(EXCHANGE, invite);
     }
 
+    /** From now on numbers can be dialled; questions to the portability server are noted. */
+    EdgeDesk numbers(int mostTables, NumberTable first, Porting.Settings settings) {
+        core.numbers(new NumberDesk(mostTables, first, settings, (at, number) -> note("asks for " + Digits.text(number))));
+        return this;
+    }
+
+    /** A caller dials. */
+    EdgeDesk dial(String call, String number, long left) {
+        return raw(EXCHANGE, new String(invite(call, 0, left).bytes(), StandardCharsets.UTF_8)
+                .replace("sip:77@r:1", "sip:" + number + "@r:1").replaceFirst("X-Far-End: \\d+\r\n", ""));
+    }
+
+    EdgeDesk ported(String number, Porting.Outcome outcome, String routing) {
+        note(number + " " + outcome + " " + routing);
+        core.ported(now, Digits.pack(number), outcome, Digits.pack(routing), 60_000_000, this);
+        return this;
+    }
+
+    EdgeDesk replace(NumberTable table) {
+        note("table " + table.version());
+        core.replace(now, table, this);
+        return this;
+    }
+
+    /** A header of the last INVITE out. */
+    String sent(String header) {
+        return lastInvite.header(header);
+    }
+
+    /** A header of the last response out. */
+    String answer(String header) {
+        return lastOut.header(header);
+    }
+
     EdgeDesk take(Hop from, SipMessage message) {
         return raw(from, new String(message.bytes(), StandardCharsets.UTF_8));
     }
