Split the targets from the decisions: planner, plan keeper, link and schedule as cores

What is worked out over seconds shall run in a program of its own, and the edge go on without it. Beside them, free of I/O: facts on their way (newest wins, told again to a new planner), a checksummed frame, both ends of the link, what is planned next.

--- a/src/main/java/coralcove/Choice.java
+++ b/src/main/java/coralcove/Choice.java
@@ -22,8 +22,6 @@
  */
 public final class Choice implements CallRouter {
     // The design's figures.
-    /** Share: the design's bound on the slack of the targets; the largest gives the steepest allowed test. */
-    private static final double EPSILON = 0.05;
     /** µs: span over which a service's rate on a group is counted (design). */
     private static final long RATE_WINDOW = 10_000_000;
     /** µs: age at which a group's targets are worked out anew (design). */
@@ -127,8 +125,8 @@
     private final long warmUp;
     private final boolean subscribes;
     private final RandomGenerator chance;
+    private final Targets targets;
     private final Service[] services;
-    private final int[] byWorth;
     private final int widest;
     private final Ring ownLoad = new Ring(RATE_WINDOW, LOAD_BUCKETS);
     private final Map<Long, Far> exchanges = new LinkedHashMap<>();
@@ -175,6 +173,7 @@
 
     /** The circuits between here and one number, whichever machine serves that number now. */
     private static final class Group {
+        final int number;
         final Load[] loads;
         final Map<Integer, Long> turnedBack = new HashMap<>();
         /** Far ends it has led to: a session stood, or a centre advised it. */
@@ -190,7 +189,8 @@
         /** The machine that serves the number now, the ready one started last; every session asks for it. */
         Far serving;
 
-        Group(Service[] services) {
+        Group(int number, Service[] services) {
+            this.number = number;
             loads = new Load[services.length];
             for (int i = 0; i < loads.length; i++) {
                 loads[i] = new Load(services[i].hold());
@@ -217,7 +217,7 @@
         double window = WINDOW_FIRST;
         long cutAt;
         final Ring quick = new Ring(PLACE_SPAN, PLACE_BUCKETS);
-        /** INVITEs out in the order sent; those overtaken by a quick answer; when the newest such was sent. */
+        /** INVITEs out in the order sent; how many a quick answer overtook, and when that one was sent. */
         final ArrayDeque<Invite> out = new ArrayDeque<>();
         int overtaken;
         long quickSentAt;
@@ -280,7 +280,13 @@
     private enum Test { PASS, FULL, KEPT_BACK }
 
     public Choice(Settings settings, RandomGenerator chance) {
+        this(settings, chance, new Planner(settings));
+    }
+
+    /** With targets from elsewhere: a planner of its own that may be late, restart or be gone. */
+    public Choice(Settings settings, RandomGenerator chance, Targets targets) {
         this.chance = chance;
+        this.targets = targets;
         ownNumber = settings.ownNumber();
         routers = settings.routers();
         pools = settings.pools();
@@ -297,35 +303,19 @@
         tellEvery = TELL_EVERY * Math.max(1, routers / NEWS_A_SECOND);
         marks = settings.redialsMarked();
         List<Settings.Service> given = settings.services();
-        byWorth = order(given);
+        int dearest = Planner.order(given)[0];
         services = new Service[2 * given.size()];
         int most = 1;
         for (int i = 0; i < services.length; i++) {
             Settings.Service it = given.get(i / 2);
             services[i] = new Service(it.target(), it.width(), it.hold(), it.repeatable(),
-                    i == byWorth[0] && given.size() > 1 ? PRESS_HIGH : PRESS_LOW, it.pools());
+                    i == dearest && given.size() > 1 ? PRESS_HIGH : PRESS_LOW, it.pools());
             most = Math.max(most, it.width());
         }
         widest = most;
         overdue = given.stream().mapToLong(Settings.Service::target).min().orElse(0);
     }
 
-    /** Classes by falling value per circuit; equal ones in the order of the settings. */
-    private static int[] order(List<Settings.Service> given) {
-        List<Integer> order = new ArrayList<>();
-        for (int i = 0; i < 2 * given.size(); i++) {
-            order.add(i);
-        }
-        order.sort((a, b) -> Double.compare(worth(given, b), worth(given, a)));
-        return order.stream().mapToInt(Integer::intValue).toArray();
-    }
-
-    /** Value per circuit of class i: a service's first tries, or its redials, which can only stand late. */
-    private static double worth(List<Settings.Service> given, int i) {
-        Settings.Service it = given.get(i / 2);
-        return it.value() / it.width() * (i % 2 == 0 ? 1 : it.lateValue());
-    }
-
     /**
      * The class of a session: odd when it can only stand late. Where callers mark redials the mark is asked
      * first, as many may call one number; the memory of numbers tells when its caller first came.
@@ -442,7 +432,7 @@
             exchanges.values().forEach(far -> far.ready = false);
         }
         for (Exchange each : list) {
-            Group group = groups.computeIfAbsent(each.number(), n -> new Group(services));
+            Group group = groups.computeIfAbsent(each.number(), n -> new Group(n, services));
             Far far = exchanges.computeIfAbsent(each.id(),
                     id -> new Far(id, each.number(), group, new Ring(fallWindow * 9 / 8, 9)));
             far.ready = each.phase() == READY;
@@ -745,36 +735,27 @@
         return Math.log(per) + per * load.standing;
     }
 
-    /** The fractional knapsack by falling value per circuit, and what follows from it. */
+    /** The targets anew: what was counted goes to the planner, what it makes of it is gone by. */
     private void refresh(long now, Group group) {
         group.refreshAt = now + REFRESH;
-        double left = group.size / (1 + 4 * EPSILON);
-        double least = Double.POSITIVE_INFINITY;
-        for (int index : byWorth) {
-            Load load = group.loads[index];
-            Service service = services[index];
-            double rho = load.calls.sum(now) / rateSpan(now) * service.hold;
-            double need = rho * service.width;
+        double[] calls = new double[services.length];
+        for (int i = 0; i < calls.length; i++) {
+            calls[i] = group.loads[i].calls.sum(now) / rateSpan(now) * services[i].hold;
+        }
+        GroupPlan plan = targets.of(now, new GroupFacts(now, group.number, group.size, calls));
+        for (int i = 0; i < calls.length; i++) {
+            Load load = group.loads[i];
             boolean first = !load.aimed;
-            load.aimed = need > 0;
-            if (need <= 0) {
-                continue;
-            }
-            double alpha = Math.min(1, Math.max(0, left) / need);
-            left -= alpha * need;
-            load.c0 = (1 + 4 * EPSILON) * alpha * need;
-            load.c1 = (1 + 4 * EPSILON) * (1 - alpha) * need;
-            if (alpha > 0) {
-                least = Math.min(least, load.c0 / service.width);
-            }
-            if (alpha > 0 && alpha < 1) {
-                least = Math.min(least, load.c1 / service.width);
-            }
-            if (first) {
-                load.phantoms.spread(now, (1 - alpha) * rho);
+            load.aimed = plan != null && plan.seen()[i];
+            if (load.aimed) {
+                load.c0 = plan.c0()[i];
+                load.c1 = plan.c1()[i];
+                if (first) {
+                    load.phantoms.spread(now, plan.phantoms()[i]);
+                }
             }
         }
-        group.beta = EPSILON * least;
+        group.beta = plan == null ? 0 : plan.beta();
     }
 
     // ---- what a processor shows
@@ -845,7 +826,7 @@
 
     /**
      * A processor takes set-ups in turn: what a later one has overtaken does not wait in its queue, but for a
-     * message that was lost and is sent again. It tells nothing of the processor, and once slow fills no place.
+     * message that was lost and is sent again. It tells nothing of the processor, and slow it fills no place.
      */
     private void overtake(long now, Far far, long sentAt) {
         far.quickSentAt = Math.max(far.quickSentAt, sentAt);
--- /dev/null
+++ b/src/test/java/coralcove/planner/LinkTest.java
@@ -0,0 +1,379 @@
+package coralcove.planner;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+import coralcove.GroupFacts;
+import coralcove.GroupPlan;
+import coralcove.Kept;
+import coralcove.Plan;
+import coralcove.PlanKeeper;
+import coralcove.Planner;
+import coralcove.Settings;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.PriorityQueue;
+import java.util.SplittableRandom;
+import org.junit.jupiter.api.Test;
+
+/** Edge and planner over a pipe in virtual time that delays, stalls, cuts and spoils. */
+class LinkTest {
+    private static final int CLASSES = 2;
+    private static final int GROUPS = 200;
+
+    private static Settings settings(int number) {
+        return new Settings(3, number, false, List.of(new Settings.Service(1_500_000, 1, 0.1, 1, 11_000_000, true,
+                List.of())), 4, true, true, 2_000_000, true, true, 300_000, 3, 1_500_000, 0.3, 10_000_000);
+    }
+
+    private record Event(long at, long order, Runnable act) {}
+
+    /** One edge, any number of planners; connections are numbers, in each direction bytes keep their order. */
+    private static final class World {
+        final StringBuilder told = new StringBuilder();
+        final PriorityQueue<Event> events = new PriorityQueue<>((a, b) -> a.at != b.at ? Long.compare(a.at, b.at)
+                : Long.compare(a.order, b.order));
+        final SplittableRandom chance = new SplittableRandom(5);
+        final Map<Long, End> open = new LinkedHashMap<>();
+        FactsOut facts = new FactsOut(1000);
+        PlanKeeper keeper = new PlanKeeper(settings(7), facts::add);
+        EdgeLink edge = new EdgeLink(settings(7), keeper, facts, 1);
+        boolean edgeUp = true;
+        long delay = 500;
+        /** Until when nothing arrives either way, though no connection closes. */
+        long stalledUntil;
+        long connections;
+        long now;
+        long order;
+
+        final EdgeLink.Out edgeOut = new EdgeLink.Out() {
+            @Override
+            public void send(long connection, byte[] bytes) {
+                End end = open.get(connection);
+                if (end != null) {
+                    end.backlog += bytes.length;
+                    at(arrival(), () -> {
+                        end.backlog -= bytes.length;
+                        if (end.connection == connection && end.alive) {
+                            end.core.read(now, bytes, end);
+                        }
+                    });
+                }
+            }
+
+            @Override
+            public void close(long connection) {
+                End end = open.remove(connection);
+                if (end != null) {
+                    at(arrival(), () -> {
+                        if (end.connection == connection) {
+                            end.hungUp();
+                        }
+                    });
+                }
+            }
+
+            @Override
+            public long backlog(long connection) {
+                End end = open.get(connection);
+                return end == null ? 0 : end.backlog;
+            }
+
+            @Override
+            public void log(String event, String detail) {
+                say("edge: " + event + " " + detail);
+            }
+        };
+
+        /** A planner's process. */
+        final class End implements PlannerCore.Out {
+            final String name;
+            final PlannerCore core;
+            boolean alive = true;
+            long connection = -1;
+            long backlog;
+
+            End(String name, int number, long start) {
+                this.name = name;
+                core = new PlannerCore(settings(number), start, chance.split());
+                beat();
+            }
+
+            void beat() {
+                if (alive) {
+                    core.tick(now, this);
+                    at(now + PlannerCore.every(), this::beat);
+                }
+            }
+
+            void hungUp() {
+                connection = -1;
+                if (alive) {
+                    core.closed(now, this);
+                }
+            }
+
+            void kill() {
+                alive = false;
+                close();
+            }
+
+            @Override
+            public void connect() {
+                at(now + delay, () -> {
+                    if (!alive) {
+                        return;
+                    }
+                    if (!edgeUp) {
+                        hungUp();
+                        return;
+                    }
+                    long made = ++connections;
+                    connection = made;
+                    open.put(made, this);
+                    edge.opened(now, made, edgeOut);
+                    if (connection == made) {
+                        core.connected(now, this);
+                    }
+                });
+            }
+
+            @Override
+            public void send(byte[] bytes) {
+                long to = connection;
+                at(arrival(), () -> {
+                    if (open.get(to) == this && edgeUp) {
+                        edge.read(now, to, bytes, edgeOut);
+                    }
+                });
+            }
+
+            @Override
+            public void close() {
+                long old = connection;
+                connection = -1;
+                if (open.remove(old, this)) {
+                    at(now + delay, () -> edge.closed(now, old, edgeOut));
+                }
+            }
+
+            @Override
+            public void log(String event, String detail) {
+                say(name + ": " + event + " " + detail);
+            }
+        }
+
+        World() {
+            edgeBeat();
+        }
+
+        long arrival() {
+            return Math.max(now + delay, stalledUntil);
+        }
+
+        void at(long time, Runnable act) {
+            events.add(new Event(time, order++, act));
+        }
+
+        void say(String what) {
+            told.append(now / 1000).append(" ms  ").append(what.replaceAll("in \\d+ ms", "in .. ms")).append('\n');
+        }
+
+        void edgeBeat() {
+            if (edgeUp) {
+                edge.tick(now, edgeOut);
+            }
+            at(now + EdgeLink.every(), this::edgeBeat);
+        }
+
+        /** The edge's refreshes: each group every 5 s. */
+        void refreshes(long until) {
+            for (long t = now; t < until; t += 5_000_000 / GROUPS) {
+                long when = t;
+                at(when, () -> {
+                    if (edgeUp) {
+                        keeper.of(now, new GroupFacts(now, (int) (when / (5_000_000 / GROUPS) % GROUPS), 30,
+                                new double[] {20 + when % 17, 3}));
+                    }
+                });
+            }
+        }
+
+        World pass(long seconds) {
+            long end = now + seconds * 1_000_000;
+            while (!events.isEmpty() && events.peek().at <= end) {
+                Event event = events.poll();
+                now = event.at;
+                event.act.run();
+            }
+            now = end;
+            return this;
+        }
+
+        void ages(String what) {
+            int[] counts = new int[PlanKeeper.Age.values().length];
+            for (int i = 0; i < GROUPS; i++) {
+                counts[keeper.age(now, i).ordinal()]++;
+            }
+            say(what + ": fresh " + counts[0] + ", ageing " + counts[1] + ", stale " + counts[2] + ", "
+                    + (edge.planned() ? "a planner" : "no planner"));
+        }
+    }
+
+    @Test
+    void plansComeInTimeFor200GroupsAndAgeWhenThePlannerIsKilled() {
+        World world = new World();
+        world.refreshes(300_000_000);
+        World.End first = world.new End("planner", 7, 11);
+        world.pass(7).ages("after the first refreshes");
+        world.pass(20).ages("in steady work");
+        first.kill();
+        world.pass(14).ages("killed 14 s ago");
+        world.pass(20).ages("killed 34 s ago");
+        world.pass(30).ages("killed 64 s ago");
+        world.new End("planner", 7, 12);
+        world.pass(7).ages("7 s after a new start");
+        assertThat(world.told.toString()).isEqualTo(Kept.trace("link-killed"));
+    }
+
+    /** Restarted every second, the planner still keeps the plans young: versions go on from the edge's. */
+    @Test
+    void aPlannerRestartedEverySecond() {
+        World world = new World();
+        world.refreshes(60_000_000);
+        for (int i = 0; i < 40; i++) {
+            World.End end = world.new End("planner", 7, 100 + i);
+            world.pass(1);
+            end.kill();
+        }
+        world.told.setLength(0);
+        world.ages("after 40 restarts");
+        world.say(world.edge.report().toString());
+        assertThat(world.told.toString()).isEqualTo(Kept.trace("link-restarts"));
+    }
+
+    @Test
+    void theEdgeRestartsUnderARunningPlanner() {
+        World world = new World();
+        world.refreshes(100_000_000);
+        World.End end = world.new End("planner", 7, 11);
+        world.pass(10).ages("before");
+        world.edgeUp = false;
+        world.open.clear();
+        world.at(world.now + 500, end::hungUp);
+        world.pass(2);
+        world.facts = new FactsOut(1000);
+        world.keeper = new PlanKeeper(settings(7), world.facts::add);
+        world.edge = new EdgeLink(settings(7), world.keeper, world.facts, 2);
+        world.edgeUp = true;
+        world.ages("a new edge knows nothing");
+        world.pass(10).ages("10 s later");
+        assertThat(world.told.toString()).isEqualTo(Kept.trace("link-edge-restarts"));
+    }
+
+    /** A link that stalls without closing: both ends give it up, and what arrives late is not heard. */
+    @Test
+    void aLinkThatStallsWithoutClosing() {
+        World world = new World();
+        world.refreshes(100_000_000);
+        world.new End("planner", 7, 11);
+        world.pass(10);
+        world.stalledUntil = world.now + 10_000_000;
+        world.pass(9).ages("stalled for 9 s");
+        world.pass(8).ages("well again for 7 s");
+        assertThat(world.edge.report().get("facts-dropped")).isZero();
+        assertThat(world.told.toString()).isEqualTo(Kept.trace("link-stalls"));
+    }
+
+    /** The second planner, one for another router and one of another make are turned away; the first goes on. */
+    @Test
+    void onlyOnePlannerAndOnlyTheRightOne() {
+        World world = new World();
+        world.refreshes(60_000_000);
+        World.End first = world.new End("first", 7, 11);
+        world.pass(3);
+        World.End second = world.new End("second", 7, 12);
+        World.End other = world.new End("other", 8, 13);
+        world.pass(5).ages("three planners");
+        other.kill();
+        first.kill();
+        world.pass(12).ages("the second takes over");
+        assertThat(second.core.agreed()).isTrue();
+        assertThat(world.told.toString()).isEqualTo(Kept.trace("link-two"));
+    }
+
+    /** Slow by ten seconds, a planner's plans rest on old facts, and are taken as long as those are not stale. */
+    @Test
+    void aSlowPlannerIsAgeingNotWrong() {
+        World world = new World();
+        world.refreshes(100_000_000);
+        world.new End("planner", 7, 11);
+        world.pass(10);
+        world.delay = 1_400_000;
+        world.pass(20).ages("each way takes 1.4 s");
+        assertThat(world.edge.report().toString()).doesNotContain("old_facts").doesNotContain("silent");
+    }
+
+    @Test
+    void framesAreReadAsTheyWereWrittenAndSpoiltOnesAreNot() throws Exception {
+        SplittableRandom chance = new SplittableRandom(4);
+        Planner planner = new Planner(settings(7));
+        List<GroupFacts> facts = new ArrayList<>();
+        List<GroupPlan> plans = new ArrayList<>();
+        for (int i = 0; i < 50; i++) {
+            facts.add(new GroupFacts(i, i, 20 + i, new double[] {chance.nextDouble() * 30, chance.nextDouble()}));
+            plans.add(planner.of(i, facts.get(i)));
+        }
+        List<Frame> frames = List.of(new Frame.Hello(true, 7, CLASSES, 5, 6), new Frame.Refused("no"),
+                new Frame.Facts(facts), new Frame.Planned(new Plan(7, 9, plans)), new Frame.Taken(9, "NONE"),
+                new Frame.Alive());
+        byte[] stream = new byte[0];
+        for (Frame frame : frames) {
+            byte[] bytes = frame.bytes();
+            stream = Arrays.copyOf(stream, stream.length + bytes.length);
+            System.arraycopy(bytes, 0, stream, stream.length - bytes.length, bytes.length);
+        }
+        for (int step : new int[] {1, 7, 100, stream.length}) {
+            Frame.Framer framer = new Frame.Framer();
+            List<byte[]> read = new ArrayList<>();
+            for (int at = 0; at < stream.length; at += step) {
+                read.addAll(framer.take(Arrays.copyOfRange(stream, at, Math.min(stream.length, at + step))));
+            }
+            for (int i = 0; i < frames.size(); i++) {
+                assertThat(Frame.read(read.get(i)).bytes()).isEqualTo(frames.get(i).bytes());
+            }
+        }
+        byte[] good = new Frame.Planned(new Plan(7, 9, plans)).bytes();
+        byte[] body = Arrays.copyOfRange(good, 4, good.length);
+        for (int i = 0; i < 3000; i++) {
+            byte[] spoilt = body.clone();
+            spoilt[chance.nextInt(spoilt.length)] ^= (byte) (1 << chance.nextInt(8));
+            assertThatThrownBy(() -> Frame.read(spoilt)).isInstanceOf(Frame.Bad.class);
+        }
+        assertThatThrownBy(() -> new Frame.Framer().take(new byte[] {0x7f, 0, 0, 0})).hasMessage("a frame of 2130706432 bytes");
+    }
+
+    /** The pressed groups come first, the rest in turn, and nobody waits for ever. */
+    @Test
+    void pressedGroupsFirstAndTheRestInTurn() {
+        Schedule schedule = new Schedule(new int[] {1}, 100);
+        for (int i = 0; i < 40; i++) {
+            schedule.told(new GroupFacts(1000 + i, i, 10, new double[] {i % 2 == 0 ? 20 + i : 1}));
+        }
+        assertThat(schedule.told(new GroupFacts(5, 3, 10, new double[] {1}))).isFalse();
+        assertThat(schedule.told(new GroupFacts(5, 300, 10, new double[] {1, 2}))).isFalse();
+        StringBuilder order = new StringBuilder();
+        while (!schedule.idle()) {
+            for (GroupFacts each : schedule.next(2000, 8)) {
+                order.append(each.number()).append(' ');
+            }
+            order.append("| ");
+        }
+        assertThat(order.toString()).isEqualTo("38 36 34 32 30 28 0 1 | 26 24 22 20 18 16 2 3 | 14 12 10 8 6 4 5 7 | "
+                + "9 11 13 15 17 19 21 23 | 25 27 29 31 33 35 37 39 | ");
+        assertThat(schedule.next(2000, 8)).isEmpty();
+    }
+}
