--- a/src/main/java/coralcove/Choice.java
+++ b/src/main/java/coralcove/Choice.java
@@ -186,6 +186,7 @@
         int size;
         double beta;
         long refreshAt;
+        long planned;
         /** The machine that serves the number now, the ready one started last; every session asks for it. */
         Far serving;
 
@@ -698,6 +699,9 @@
         }
         if (now >= group.refreshAt) {
             refresh(now, group);
+        } else if (targets.version() != group.planned) {
+            // A plan that waits for the next refresh is five seconds old when it is first gone by.
+            follow(now, group, targets.held(now, group.number));
         }
         Load load = group.loads[it.kind];
         boolean room = session.transit() || it.kind % 2 == 1 ? roomy(group)
@@ -742,8 +746,12 @@
         for (int i = 0; i < calls.length; i++) {
             calls[i] = group.loads[i].calls.sum(now) / rateSpan(now) * services[i].hold;
         }
-        GroupPlan plan = targets.of(now, new GroupFacts(now, group.number, group.size, calls));
-        for (int i = 0; i < calls.length; i++) {
+        follow(now, group, targets.of(now, new GroupFacts(now, group.number, group.size, calls)));
+    }
+
+    private void follow(long now, Group group, GroupPlan plan) {
+        group.planned = targets.version();
+        for (int i = 0; i < group.loads.length; i++) {
             Load load = group.loads[i];
             boolean first = !load.aimed;
             load.aimed = plan != null && plan.seen()[i];
--- a/src/main/java/coralcove/PlanKeeper.java
+++ b/src/main/java/coralcove/PlanKeeper.java
@@ -41,12 +41,18 @@
     @Override
     public GroupPlan of(long now, GroupFacts told) {
         facts.accept(told);
-        GroupPlan plan = plans.get(told.number());
+        return held(now, told.number());
+    }
+
+    @Override
+    public GroupPlan held(long now, int number) {
+        GroupPlan plan = plans.get(number);
         return plan == null ? null : aged(plan, now - plan.at());
     }
 
     // ---- plans from the planner
 
+    @Override
     public long version() {
         return version;
     }
@@ -133,7 +139,7 @@
         double beta = plan.beta();
         double least = Double.POSITIVE_INFINITY;
         for (int i = 0; i < c0.length; i++) {
-            // A class that was not to be taken at all would come in at once: its first call is all its target.
+            // A class that was not to be taken at all would come in at once: one call is all its target.
             double over = c0[i] > 0 ? moved * c1[i] : 0;
             c0[i] += over;
             c1[i] -= over;
--- a/src/main/java/coralcove/Targets.java
+++ b/src/main/java/coralcove/Targets.java
@@ -4,4 +4,14 @@
 public interface Targets {
     /** The targets to go by, or null for none: then any call that fits is taken, as at the start. */
     GroupPlan of(long now, GroupFacts facts);
+
+    /** Changes when targets have come in the meantime; always 0 where {@link #of} gives the newest at once. */
+    default long version() {
+        return 0;
+    }
+
+    /** The targets of a group as they are now, without new facts; null for none. */
+    default GroupPlan held(long now, int number) {
+        return null;
+    }
 }
--- a/src/main/java/coralcove/cli/Commands.java
+++ b/src/main/java/coralcove/cli/Commands.java
@@ -1,5 +1,8 @@
 package coralcove.cli;
 
+import coralcove.Choice;
+import coralcove.PlanKeeper;
+import coralcove.Settings;
 import coralcove.baseline.Policies;
 import coralcove.config.BadConfig;
 import coralcove.config.Toml;
@@ -22,6 +25,11 @@
 import coralcove.numbers.NumberTable;
 import coralcove.numbers.file.TableReader;
 import coralcove.numbers.file.TableWatch;
+import coralcove.planner.EdgeLink;
+import coralcove.planner.FactsOut;
+import coralcove.planner.PlannerCore;
+import coralcove.planner.transport.EdgePort;
+import coralcove.planner.transport.PlannerPort;
 import coralcove.portability.Portability;
 import coralcove.rehearsal.BenchDay;
 import coralcove.rehearsal.CaptureLine;
@@ -39,6 +47,7 @@
 import java.security.SecureRandom;
 import java.util.List;
 import java.util.Locale;
+import java.util.SplittableRandom;
 import java.util.concurrent.Callable;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
@@ -52,7 +61,7 @@
 /** The command line. Exit 0 good, 1 bad input, 2 usage, 3 a rule broken. */
 @Command(name = "coralcove", mixinStandardHelpOptions = true, version = "coralcove 0.2.0",
         description = "A call router for a private voice network, its stand-ins and rehearsals.",
-        subcommands = {Commands.Edge.class, Commands.Exchange.class, Commands.Directory.class,
+        subcommands = {Commands.Edge.class, Commands.PlannerCommand.class, Commands.Exchange.class, Commands.Directory.class,
             Commands.RehearseCommand.class, Commands.Compare.class, Commands.JudgeCommand.class, Commands.Check.class, NumbersCommand.class,
             Commands.DrillHelp.class},
         footer = {"", "Exit: 0 good, 1 bad input, 2 usage, 3 a rule broken.", "", "Examples:",
@@ -94,7 +103,7 @@
                 description = "what is logged as JSON lines on standard error: ERROR, WARN, INFO (default) or OFF")
         private String level;
 
-        abstract void serve(Toml toml) throws BadConfig;
+        abstract void serve(Toml toml) throws BadConfig, InterruptedException;
 
         @Override
         public Integer call() throws Exception {
@@ -105,14 +114,15 @@
     }
 
     private static void run(Toml toml, String table, String name, Hop self, Core core) throws BadConfig {
-        run(toml, table, name, self, core, null);
+        run(toml, table, name, self, core, null, null);
     }
 
     /** µs between two looks at the files of the table of numbers. */
     private static final long LOOK_AT_TABLE = 1_000_000;
 
-    private static void run(Toml toml, String table, String name, Hop self, Core core, NumbersFile numbers)
+    private static void run(Toml toml, String table, String name, Hop self, Core core, EdgeFile file, EdgeLink link)
             throws BadConfig {
+        NumbersFile numbers = file == null ? null : file.numbers();
         AtomicBoolean stop = new AtomicBoolean();
         CountDownLatch ended = new CountDownLatch(1);
         LiveNetwork network = new LiveNetwork(null);
@@ -133,6 +143,15 @@
         } catch (UncheckedIOException e) {
             throw toml.table(table).bad("listen", e.getCause().getMessage());
         }
+        if (link != null && core instanceof EdgeCore edge) {
+            try {
+                EdgePort port = new EdgePort(name, file.planner().host(), file.planner().port(), link,
+                        act -> network.on(name, (now, out) -> act.accept(now)));
+                network.on(name, (now, out) -> edge.planner(now, link, port));
+            } catch (IOException e) {
+                throw toml.table("planner").bad("listen", e.getMessage());
+            }
+        }
         Runtime.getRuntime().addShutdownHook(new Thread(() -> {
             stop.set(true);
             try {
@@ -179,10 +198,35 @@
         @Override
         void serve(Toml toml) throws BadConfig {
             EdgeFile file = EdgeFile.of(toml);
-            EdgeCore core = new EdgeCore(file.settings(), Policies.router(file.policy(), file.settings().module(),
-                    file.settings().seed()));
-            Commands.run(toml, "edge", "edge-" + file.settings().number(), file.settings().self(), core,
-                    file.numbers());
+            Settings module = file.settings().module();
+            FactsOut facts = new FactsOut(PlannerCore.MOST_GROUPS);
+            PlanKeeper keeper = new PlanKeeper(module, facts::add);
+            EdgeCore core = new EdgeCore(file.settings(), file.planner() == null
+                    ? Policies.router(file.policy(), module, file.settings().seed())
+                    : new Choice(module, new SplittableRandom(file.settings().seed()), keeper));
+            EdgeLink link = file.planner() == null ? null
+                    : new EdgeLink(module, keeper, facts, System.currentTimeMillis());
+            Commands.run(toml, "edge", "edge-" + file.settings().number(), file.settings().self(), core, file, link);
+        }
+    }
+
+    @Command(name = "planner", mixinStandardHelpOptions = true,
+            description = "Runs the planner of one call router, from the router's own settings.",
+            footer = {"", "The edge serves without it too: its plans lose their say within a minute.", "Example:",
+                "  coralcove planner deploy/examples/edge-0.toml"})
+    static final class PlannerCommand extends Serving {
+        @Override
+        void serve(Toml toml) throws BadConfig, InterruptedException {
+            EdgeFile file = EdgeFile.of(toml);
+            if (file.planner() == null) {
+                throw toml.table("planner").bad("listen", "is missing: this router has no planner");
+            }
+            long start = System.currentTimeMillis();
+            PlannerCore core = new PlannerCore(file.settings().module(), start, new SplittableRandom(start));
+            new PlannerPort("planner-" + file.settings().number(), file.planner().host(), file.planner().port(), core);
+            System.err.println("coralcove: planner-" + file.settings().number() + " plans for the edge at "
+                    + file.planner().host() + ":" + file.planner().port());
+            new CountDownLatch(1).await();
         }
     }
 
--- a/src/main/java/coralcove/edge/EdgeCore.java
+++ b/src/main/java/coralcove/edge/EdgeCore.java
@@ -11,6 +11,7 @@
 import coralcove.numbers.NumberTable;
 import coralcove.numbers.Porting;
 import coralcove.numbers.Search;
+import coralcove.planner.EdgeLink;
 import coralcove.protocol.CallHeaders;
 import coralcove.protocol.Outcomes;
 import coralcove.protocol.Refusal;
@@ -113,6 +114,8 @@
     private long wakeAt;
     private boolean stopping;
     private NumberDesk numbers;
+    private EdgeLink link;
+    private EdgeLink.Out linkOut;
     /** The numbers in the roster, for the checks of tables on other threads. */
     private volatile Set<Integer> farEnds = Set.of();
     /** Whether the whole list has been asked for after a gap and has not come yet. */
@@ -281,6 +284,23 @@
         carryOut(now, held, router.route(now, held.session), out);
     }
 
+    // ---- the planner
+
+    /** Ticks the link to a planner from now on; told on the router's own thread. */
+    public void planner(long now, EdgeLink to, EdgeLink.Out over) {
+        boolean first = link == null;
+        link = to;
+        linkOut = over;
+        if (first) {
+            timers.set(now, this::tickLink);
+        }
+    }
+
+    private void tickLink(long now, Out out) {
+        link.tick(now, linkOut);
+        timers.set(now + EdgeLink.every(), this::tickLink);
+    }
+
     // ---- dialled numbers
 
     /** Makes far ends of dialled numbers from now on; told before the start. */
--- a/src/main/java/coralcove/edge/EdgeFile.java
+++ b/src/main/java/coralcove/edge/EdgeFile.java
@@ -6,11 +6,15 @@
 import coralcove.config.Hops;
 import coralcove.config.ServiceTable;
 import coralcove.config.Toml;
+import coralcove.sip.Hop;
 import java.util.ArrayList;
 import java.util.List;
 
-/** Reads a call router's settings file (docs/operating.md lists its keys); {@code numbers} is null without the table. */
-public record EdgeFile(EdgeSettings settings, String policy, NumbersFile numbers) {
+/**
+ * Reads a call router's settings file (docs/operating.md lists its keys); {@code numbers} and
+ * {@code planner}, where a planner connects, are null without their tables.
+ */
+public record EdgeFile(EdgeSettings settings, String policy, NumbersFile numbers, Hop planner) {
     public static EdgeFile of(Toml toml) throws BadConfig {
         Toml.Table edge = toml.table("edge");
         int number = edge.whole("number", 0, 65_535);
@@ -50,7 +54,11 @@
             throw edge.bad("exchange", "is the router's own address");
         }
         NumbersFile numbers = toml.has("numbers") ? NumbersFile.of(toml.table("numbers")) : null;
+        Hop planner = toml.has("planner") ? Hops.read(toml.table("planner"), "listen") : null;
+        if (planner != null && (!planner.tcp() || !policy.equals("choice"))) {
+            throw toml.table("planner").bad("listen", planner.tcp() ? "only policy choice has a planner" : "is not tcp:");
+        }
         toml.nothingElse();
-        return new EdgeFile(settings, policy, numbers);
+        return new EdgeFile(settings, policy, numbers, planner);
     }
 }
--- /dev/null
+++ b/src/main/java/coralcove/planner/transport/EdgePort.java
@@ -0,0 +1,103 @@
+package coralcove.planner.transport;
+
+import coralcove.planner.EdgeLink;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.function.LongConsumer;
+import org.apache.mina.core.buffer.IoBuffer;
+import org.apache.mina.core.service.IoHandlerAdapter;
+import org.apache.mina.core.session.IoSession;
+import org.apache.mina.transport.socket.nio.NioSocketAcceptor;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** Where an edge's planner connects, on Apache MINA; all that comes is handed to the router's own thread. */
+public final class EdgePort implements EdgeLink.Out, AutoCloseable {
+    /** Runs an act, given the time, on the thread that owns the link. */
+    public interface Thread {
+        void run(LongConsumer act);
+    }
+
+    private final Logger log;
+    private final NioSocketAcceptor acceptor = new NioSocketAcceptor(1);
+    private final Map<Long, IoSession> open = new ConcurrentHashMap<>();
+
+    /** Listens; a port in use ends in an IOException that names the address. */
+    public EdgePort(String name, String host, int port, EdgeLink link, Thread thread) throws IOException {
+        log = LoggerFactory.getLogger(name);
+        acceptor.setReuseAddress(true);
+        acceptor.getSessionConfig().setTcpNoDelay(true);
+        acceptor.setHandler(new IoHandlerAdapter() {
+            @Override
+            public void sessionOpened(IoSession session) {
+                open.put(session.getId(), session);
+                thread.run(now -> link.opened(now, session.getId(), EdgePort.this));
+            }
+
+            @Override
+            public void messageReceived(IoSession session, Object message) {
+                byte[] bytes = bytes(message);
+                thread.run(now -> link.read(now, session.getId(), bytes, EdgePort.this));
+            }
+
+            @Override
+            public void sessionClosed(IoSession session) {
+                open.remove(session.getId());
+                thread.run(now -> link.closed(now, session.getId(), EdgePort.this));
+            }
+
+            @Override
+            public void exceptionCaught(IoSession session, Throwable cause) {
+                session.closeNow();
+            }
+        });
+        try {
+            acceptor.bind(new InetSocketAddress(host, port));
+        } catch (IOException | RuntimeException e) {
+            close();
+            throw new IOException("cannot listen on " + host + ":" + port + ": " + e.getMessage(), e);
+        }
+    }
+
+    static byte[] bytes(Object message) {
+        IoBuffer buffer = (IoBuffer) message;
+        byte[] bytes = new byte[buffer.remaining()];
+        buffer.get(bytes);
+        return bytes;
+    }
+
+    @Override
+    public void send(long connection, byte[] bytes) {
+        IoSession session = open.get(connection);
+        if (session != null) {
+            session.write(IoBuffer.wrap(bytes));
+        }
+    }
+
+    @Override
+    public void close(long connection) {
+        IoSession session = open.remove(connection);
+        if (session != null) {
+            session.closeOnFlush();
+        }
+    }
+
+    @Override
+    public long backlog(long connection) {
+        IoSession session = open.get(connection);
+        return session == null ? 0 : session.getScheduledWriteBytes();
+    }
+
+    @Override
+    public void log(String event, String detail) {
+        log.atInfo().addKeyValue("session", "").addKeyValue("detail", detail).log(event);
+    }
+
+    @Override
+    public void close() {
+        open.values().forEach(IoSession::closeNow);
+        acceptor.dispose(false);
+    }
+}
--- a/src/main/java/coralcove/rehearsal/DayFile.java
+++ b/src/main/java/coralcove/rehearsal/DayFile.java
@@ -89,6 +89,10 @@
         if (numbers == null && troubles.stream().anyMatch(t -> t.kind().startsWith("portability"))) {
             throw toml.table("numbers").bad("ported", "is missing, and a trouble of the portability server needs it");
         }
+        boolean planners = toml.has("planner") && toml.table("planner").flag("apart", true);
+        if (!planners && troubles.stream().anyMatch(t -> t.kind().startsWith("planner"))) {
+            throw toml.table("planner").bad("apart", "is not true, and a trouble of the planners needs it");
+        }
         toml.nothingElse();
         List<List<Arrival>> arrivals = drawn.draw(rates);
         if (numbers != null) {
@@ -97,7 +101,7 @@
                     a.number(), a.hold(), dials.dial(a.farEnd(), chance))).toList()).toList();
         }
         return new Day(name, length, zones, groups, arrivals, services, work, speeds, habits, hotLines,
-                lateness, rules, router, weather, transport, troubles, List.of(), numbers);
+                lateness, rules, router, weather, transport, troubles, List.of(), numbers, planners);
     }
 
     private static Day.Numbers numbers(Toml.Table table) throws BadConfig {
--- a/src/main/java/coralcove/rehearsal/Rehearsal.java
+++ b/src/main/java/coralcove/rehearsal/Rehearsal.java
@@ -3,6 +3,7 @@
 import coralcove.baseline.Policies;
 import coralcove.directory.DirectoryCore;
 import coralcove.edge.EdgeCore;
+import coralcove.Choice;
 import coralcove.dns.PortabilityServer;
 import coralcove.edge.EdgeSettings;
 import coralcove.edge.NumberDesk;
@@ -13,6 +14,8 @@
 import coralcove.judge.Witness;
 import coralcove.judge.Judge;
 import coralcove.network.Network;
+import coralcove.network.VirtualNetwork;
+import coralcove.planner.EdgeLink;
 import coralcove.portability.Portability;
 import coralcove.numbers.NumberTable;
 import coralcove.sip.Hop;
@@ -22,6 +25,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.SplittableRandom;
 
 /** Plays a day on a network, live or virtual: routers, stand-ins and troubles at their times. */
 public final class Rehearsal {
@@ -44,6 +48,7 @@
     private final Map<String, ExchangeCore> exchanges = new HashMap<>();
     private final Map<String, EdgeCore> edges = new LinkedHashMap<>();
     private final List<NumberDesk> desks = new ArrayList<>();
+    private final Map<Integer, PlannerPipe> planners = new LinkedHashMap<>();
     private final DialPlan plan;
     private final Portability portability;
     private long tableVersion = 1;
@@ -66,7 +71,7 @@
     }
 
     public static int ports(Day day) {
-        return 2 * day.exchanges() + 2;
+        return 3 * day.exchanges() + 2;
     }
 
     private boolean tcp(int number) {
@@ -106,6 +111,7 @@
             }
         }
         network.run(zero + day.length() + TAIL);
+        planners.values().forEach(PlannerPipe::halt);
         Stats all = new Stats();
         for (Stats each : stats) {
             all.add(each);
@@ -159,8 +165,14 @@
     private void addEdge(int number) {
         EdgeSettings settings = new EdgeSettings(number, edge(number), exchange(number), directory(),
                 day.settings(number), day.router().answerMargin(), day.router().mostOpen(), seed, start());
-        EdgeCore core = new EdgeCore(settings, Policies.router(policy, settings.module(), seed * 1000 + number));
         String name = "edge-" + number;
+        PlannerPipe pipe = !day.planners() || !policy.equals("choice") ? null : network instanceof VirtualNetwork
+                ? PlannerPipe.virtual(network, name, settings.module(), seed * 1000 + number)
+                : PlannerPipe.live(network, name, settings.module(), seed * 1000 + number,
+                        firstPort + 2 * day.exchanges() + 2 + number);
+        EdgeCore core = new EdgeCore(settings, pipe == null
+                ? Policies.router(policy, settings.module(), seed * 1000 + number)
+                : new Choice(settings.module(), new SplittableRandom(seed * 1000 + number), pipe.keeper));
         if (plan != null) {
             NumberDesk desk = new NumberDesk(day.numbers().mostTables(), plan.table(tableVersion), day.numbers().porting(),
                     portability.asker(name, () -> core));
@@ -169,6 +181,12 @@
         }
         edges.put(name, core);
         network.add(name, edge(number), core, true);
+        if (pipe != null) {
+            planners.put(number, pipe);
+            EdgeLink.Out end = pipe.edgeEnd();
+            network.on(name, (now, out) -> core.planner(now, pipe.link, end));
+            pipe.start();
+        }
     }
 
     private void addExchange(int number, long since) {
@@ -281,6 +299,14 @@
                 });
                 network.at(zero + end, () -> addEdge(number));
             }
+            case "planner-halt" -> {
+                network.at(zero + at, () -> planners.get(number).halt());
+                network.at(zero + end, () -> planners.get(number).start());
+            }
+            case "planner-slow" -> {
+                network.at(zero + at, () -> planners.get(number).slow(Math.round(trouble.size() * 1000)));
+                network.at(zero + end, () -> planners.get(number).slow(0));
+            }
             default -> { }
         }
     }
--- a/src/main/java/coralcove/rehearsal/Rehearse.java
+++ b/src/main/java/coralcove/rehearsal/Rehearse.java
@@ -99,7 +99,7 @@
                 } else {
                     judge.numbers(Rehearsal.farEnds(day, Rehearsal.zero(network.now())));
                     try (Portability portability = Portability.live(network, server(day, seed), "127.0.0.1",
-                            first + Rehearsal.ports(day) - 1)) {
+                            first + 2 * day.exchanges() + 1)) {
                         Rehearsal played = new Rehearsal(day, seed, policy, network, first, order, portability);
                         stats = played.play();
                         numbers = played.numbers();
--- /dev/null
+++ b/src/test/java/coralcove/rehearsal/PlannerDays.java
@@ -0,0 +1,50 @@
+package coralcove.rehearsal;
+
+import coralcove.config.Toml;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.stream.IntStream;
+
+/** Measures in virtual time what days/planner.toml loses with its planners halted, slow, or in one process: SEEDS. */
+public final class PlannerDays {
+    private PlannerDays() {}
+
+    private static Result play(String text, int seed) {
+        try {
+            return Rehearse.virtual(DayFile.of(Toml.of("planner.toml", text), seed), seed, "choice", null, null);
+        } catch (Exception e) {
+            throw new IllegalStateException(e);
+        }
+    }
+
+    public static void main(String[] args) throws Exception {
+        int seeds = Integer.parseInt(args[0]);
+        String halted = Files.readString(Path.of("days/planner.toml"));
+        String well = halted.substring(0, halted.indexOf("[[trouble]]"));
+        String[] days = {well.replace("apart = true", "apart = false"), well, halted, well
+                + "[[trouble]]\nkind = \"planner-slow\"\nat_s = 40\nlen_s = 10\nsize = 1400\n"};
+        String[] names = {"in one process", "apart, well", "halted from 20 s on", "slow for 10 s"};
+        double[][] shares = new double[days.length][seeds];
+        long[] broken = new long[days.length];
+        IntStream.range(0, seeds * days.length).parallel().forEach(i -> {
+            int day = i % days.length;
+            Result result = play(days[day], 1 + i / days.length);
+            shares[day][i / days.length] = result.share();
+            synchronized (broken) {
+                broken[day] += result.rules().values().stream().mapToLong(v -> v.broken()).sum();
+            }
+        });
+        for (int d = 0; d < days.length; d++) {
+            double sum = 0;
+            double lost = 0;
+            double worst = 0;
+            for (int s = 0; s < seeds; s++) {
+                sum += shares[d][s];
+                lost += shares[1][s] - shares[d][s];
+                worst = Math.max(worst, shares[1][s] - shares[d][s]);
+            }
+            System.out.printf("%-20s value served %.4f, below apart and well by %.2f points (worst seed %.2f), "
+                    + "rules broken %d%n", names[d], sum / seeds, 100 * lost / seeds, 100 * worst, broken[d]);
+        }
+    }
+}
