--- a/src/main/java/coralcove/cli/Commands.java
+++ b/src/main/java/coralcove/cli/Commands.java
@@ -28,6 +28,7 @@
 import coralcove.planner.EdgeLink;
 import coralcove.planner.FactsOut;
 import coralcove.planner.PlannerCore;
+import coralcove.planner.store.FactStore;
 import coralcove.planner.transport.EdgePort;
 import coralcove.planner.transport.PlannerPort;
 import coralcove.portability.Portability;
@@ -223,7 +224,11 @@
             }
             long start = System.currentTimeMillis();
             PlannerCore core = new PlannerCore(file.settings().module(), start, new SplittableRandom(start));
-            new PlannerPort("planner-" + file.settings().number(), file.planner().host(), file.planner().port(), core);
+            String name = "planner-" + file.settings().number();
+            FactStore store = file.store() == null ? null : new FactStore(file.store(),
+                    said -> LoggerFactory.getLogger(name).warn("store: {}", said));
+            PlannerPort port = new PlannerPort(name, file.planner().host(), file.planner().port(), core, store);
+            Runtime.getRuntime().addShutdownHook(new Thread(port::end));
             System.err.println("coralcove: planner-" + file.settings().number() + " plans for the edge at "
                     + file.planner().host() + ":" + file.planner().port());
             new CountDownLatch(1).await();
--- a/src/main/java/coralcove/edge/EdgeFile.java
+++ b/src/main/java/coralcove/edge/EdgeFile.java
@@ -7,14 +7,16 @@
 import coralcove.config.ServiceTable;
 import coralcove.config.Toml;
 import coralcove.sip.Hop;
+import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
 
 /**
  * Reads a call router's settings file (docs/operating.md lists its keys); {@code numbers} and
- * {@code planner}, where a planner connects, are null without their tables.
+ * {@code planner}, where a planner connects, are null without their tables, {@code store}, where it keeps what it
+ * has learnt, without its key.
  */
-public record EdgeFile(EdgeSettings settings, String policy, NumbersFile numbers, Hop planner) {
+public record EdgeFile(EdgeSettings settings, String policy, NumbersFile numbers, Hop planner, Path store) {
     public static EdgeFile of(Toml toml) throws BadConfig {
         Toml.Table edge = toml.table("edge");
         int number = edge.whole("number", 0, 65_535);
@@ -58,7 +60,8 @@
         if (planner != null && (!planner.tcp() || !policy.equals("choice"))) {
             throw toml.table("planner").bad("listen", planner.tcp() ? "only policy choice has a planner" : "is not tcp:");
         }
+        String store = planner == null ? "" : toml.table("planner").text("store", "");
         toml.nothingElse();
-        return new EdgeFile(settings, policy, numbers, planner);
+        return new EdgeFile(settings, policy, numbers, planner, store.isEmpty() ? null : Path.of(store));
     }
 }
--- a/src/main/java/coralcove/planner/PlannerCore.java
+++ b/src/main/java/coralcove/planner/PlannerCore.java
@@ -38,6 +38,8 @@
     /** Groups whose facts are kept at most. */
     public static final int MOST_GROUPS = 4096;
 
+    private static final long NOT_HEARD = Long.MIN_VALUE;
+
     private enum State { APART, CONNECTING, GREETING, AGREED }
 
     private final Settings settings;
@@ -54,7 +56,7 @@
     private long turnAt;
     private long version;
     private long newest = Long.MIN_VALUE;
-    private long newestHeard;
+    private long newestHeard = NOT_HEARD;
     private long taken;
     private long refused;
 
@@ -79,16 +81,19 @@
         return new long[] {taken, refused};
     }
 
-    /** Facts from a snapshot: they are planned if the edge still finds them young enough. */
+    /** Facts from a store: they are planned if they are still young once the edge has told its time. */
     public void learn(List<GroupFacts> facts) {
         for (GroupFacts each : facts) {
-            schedule.told(each);
+            if (schedule.told(each)) {
+                newest = Math.max(newest, each.at());
+            }
         }
+        schedule.changed();
     }
 
-    /** Facts known, for a snapshot. */
-    public List<GroupFacts> facts() {
-        return schedule.all();
+    /** Facts told since this was last asked, for the store. */
+    public List<GroupFacts> changed() {
+        return schedule.changed();
     }
 
     public void connected(long now, Out out) {
@@ -175,7 +180,8 @@
         if (state != State.AGREED) {
             return;
         }
-        if (now >= turnAt && !schedule.idle()) {
+        // Stored facts say nothing of the edge's time: it has to speak first, or old ones would pass for young.
+        if (now >= turnAt && !schedule.idle() && newestHeard != NOT_HEARD) {
             turnAt = now + TURN;
             plan(now, out);
         }
@@ -187,7 +193,7 @@
 
     private void plan(long now, Out out) {
         // The edge's time, as far as it is known: a step of the own clock must not make facts old or young.
-        long edgeNow = newest == Long.MIN_VALUE ? now : newest + (now - newestHeard);
+        long edgeNow = newest + (now - newestHeard);
         List<GroupPlan> groups = new ArrayList<>();
         for (GroupFacts facts : schedule.next(edgeNow, BUDGET)) {
             groups.add(planner.of(edgeNow, facts));
--- a/src/main/java/coralcove/planner/Schedule.java
+++ b/src/main/java/coralcove/planner/Schedule.java
@@ -25,6 +25,7 @@
     private final int mostGroups;
     private final Map<Integer, GroupFacts> facts = new HashMap<>();
     private final Set<Integer> fresh = new LinkedHashSet<>();
+    private final Set<Integer> changed = new LinkedHashSet<>();
     private long refused;
 
     /** {@code widths} are the classes' circuits a call; facts of {@code mostGroups} groups are kept at most. */
@@ -44,6 +45,7 @@
         }
         facts.put(told.number(), told);
         fresh.add(told.number());
+        changed.add(told.number());
         return true;
     }
 
@@ -92,10 +94,13 @@
         return refused;
     }
 
-    /** All facts known, for a snapshot. */
-    public List<GroupFacts> all() {
-        List<GroupFacts> all = new ArrayList<>(facts.values());
-        all.sort(Comparator.comparingInt(GroupFacts::number));
+    /** Facts told since this was last asked, for the store. */
+    public List<GroupFacts> changed() {
+        List<GroupFacts> all = new ArrayList<>();
+        for (int number : changed) {
+            all.add(facts.get(number));
+        }
+        changed.clear();
         return all;
     }
 }
--- a/src/main/java/coralcove/planner/transport/PlannerPort.java
+++ b/src/main/java/coralcove/planner/transport/PlannerPort.java
@@ -1,6 +1,7 @@
 package coralcove.planner.transport;
 
 import coralcove.planner.PlannerCore;
+import coralcove.planner.store.FactStore;
 import java.net.InetSocketAddress;
 import java.util.concurrent.Executors;
 import java.util.concurrent.RejectedExecutionException;
@@ -19,18 +20,23 @@
 public final class PlannerPort implements PlannerCore.Out {
     /** Milliseconds to connect at most. */
     private static final int CONNECT = 2000;
+    /** Milliseconds between two writes to the store: what a kill loses comes again with the next refresh, in 5 s. */
+    private static final int KEEP = 1000;
 
     private final Logger log;
     private final InetSocketAddress edge;
     private final PlannerCore core;
+    private final FactStore store;
     private final NioSocketConnector connector = new NioSocketConnector(1);
     private final ScheduledExecutorService thread;
     private IoSession session;
 
-    public PlannerPort(String name, String host, int port, PlannerCore core) {
+    /** Keeps what it learns in {@code store}, which may be null and is closed at the end. */
+    public PlannerPort(String name, String host, int port, PlannerCore core, FactStore store) {
         log = LoggerFactory.getLogger(name);
         edge = new InetSocketAddress(host, port);
         this.core = core;
+        this.store = store;
         thread = Executors.newSingleThreadScheduledExecutor(r -> new Thread(r, name));
         connector.setConnectTimeoutMillis(CONNECT);
         connector.getSessionConfig().setTcpNoDelay(true);
@@ -60,6 +66,10 @@
                 from.closeNow();
             }
         });
+        if (store != null) {
+            core.learn(store.read());
+            thread.scheduleWithFixedDelay(() -> act(now -> store.write(core.changed())), KEEP, KEEP, TimeUnit.MILLISECONDS);
+        }
         thread.scheduleAtFixedRate(() -> act(now -> core.tick(now, this)), 0, PlannerCore.every(), TimeUnit.MICROSECONDS);
     }
 
@@ -112,6 +122,9 @@
     /** Ends the planner for good. */
     public void end() {
         thread.shutdownNow();
+        if (store != null) {
+            store.close();
+        }
         connector.dispose(false);
     }
 
--- a/src/main/java/coralcove/rehearsal/PlannerPipe.java
+++ b/src/main/java/coralcove/rehearsal/PlannerPipe.java
@@ -69,7 +69,7 @@
 
             @Override
             void start() {
-                planner = new PlannerPort("planner-" + settings.ownNumber(), "127.0.0.1", port, fresh());
+                planner = new PlannerPort("planner-" + settings.ownNumber(), "127.0.0.1", port, fresh(), null);
             }
 
             @Override
--- a/src/test/java/coralcove/planner/LinkTest.java
+++ b/src/test/java/coralcove/planner/LinkTest.java
@@ -317,6 +317,27 @@
         assertThat(world.edge.report().toString()).doesNotContain("old_facts").doesNotContain("silent");
     }
 
+    /** Facts from a store are planned once the edge has told its time, if they are still young; old ones never. */
+    @Test
+    void aNewPlannerPlansWhatWasStored() {
+        for (long age : new long[] {10_000_000, 50_000_000}) {
+            World world = new World();
+            world.now = 100_000_000;
+            world.refreshes(world.now + 1_000_000);
+            World.End end = world.new End("planner", 7, 11);
+            List<GroupFacts> stored = new ArrayList<>();
+            for (int i = 0; i < GROUPS; i++) {
+                stored.add(new GroupFacts(world.now - age, i, 30, new double[] {20, 3}));
+            }
+            end.core.learn(stored);
+            world.told.setLength(0);
+            world.pass(2).ages("stored");
+            // 40 groups were refreshed meanwhile; the others have their plan from the store, or none.
+            assertThat(world.told.toString()).endsWith(age < 45_000_000 ? "fresh 200, ageing 0, stale 0, a planner\n"
+                    : "fresh 40, ageing 0, stale 160, a planner\n");
+        }
+    }
+
     @Test
     void framesAreReadAsTheyWereWrittenAndSpoiltOnesAreNot() throws Exception {
         SplittableRandom chance = new SplittableRandom(4);
