Run edge and planner as a pair that starts the planner again, and mend the planner's settings

Trying it showed that a router's [planner] with a store was refused: the key was read through a second table, which the check of unknown keys did not see. Change: pair and the decision when a planner starts again; one table read once, with a test; tests that a plan from before an exchange's restart undoes no guard and that one within a retry leaves the session where it is.

--- a/src/main/java/coralcove/cli/Commands.java
+++ b/src/main/java/coralcove/cli/Commands.java
@@ -62,7 +62,8 @@
 /** The command line. Exit 0 good, 1 bad input, 2 usage, 3 a rule broken. */
 @Command(name = "coralcove", mixinStandardHelpOptions = true, version = "coralcove 0.2.0",
         description = "A call router for a private voice network, its stand-ins and rehearsals.",
-        subcommands = {Commands.Edge.class, Commands.PlannerCommand.class, Commands.Exchange.class, Commands.Directory.class,
+        subcommands = {Commands.Edge.class, Commands.PlannerCommand.class, PairCommand.class,
+            Commands.Exchange.class, Commands.Directory.class,
             Commands.RehearseCommand.class, Commands.Compare.class, Commands.JudgeCommand.class, Commands.Check.class, NumbersCommand.class,
             Commands.DrillHelp.class},
         footer = {"", "Exit: 0 good, 1 bad input, 2 usage, 3 a rule broken.", "", "Examples:",
--- a/src/main/java/coralcove/edge/EdgeFile.java
+++ b/src/main/java/coralcove/edge/EdgeFile.java
@@ -56,11 +56,16 @@
             throw edge.bad("exchange", "is the router's own address");
         }
         NumbersFile numbers = toml.has("numbers") ? NumbersFile.of(toml.table("numbers")) : null;
-        Hop planner = toml.has("planner") ? Hops.read(toml.table("planner"), "listen") : null;
-        if (planner != null && (!planner.tcp() || !policy.equals("choice"))) {
-            throw toml.table("planner").bad("listen", planner.tcp() ? "only policy choice has a planner" : "is not tcp:");
+        Hop planner = null;
+        String store = "";
+        if (toml.has("planner")) {
+            Toml.Table table = toml.table("planner");
+            planner = Hops.read(table, "listen");
+            store = table.text("store", "");
+            if (!planner.tcp() || !policy.equals("choice")) {
+                throw table.bad("listen", planner.tcp() ? "only policy choice has a planner" : "is not tcp:");
+            }
         }
-        String store = planner == null ? "" : toml.table("planner").text("store", "");
         toml.nothingElse();
         return new EdgeFile(settings, policy, numbers, planner, store.isEmpty() ? null : Path.of(store));
     }
--- a/src/test/java/coralcove/PlanKeeperTest.java
+++ b/src/test/java/coralcove/PlanKeeperTest.java
@@ -125,4 +125,57 @@
             }
         }
     }
+
+    /** How many of 60 sessions at one moment go to the exchange. */
+    private static int sent(Choice choice, long now, long first) {
+        int sent = 0;
+        for (int i = 0; i < 60; i++) {
+            Session session = new Session(first + i, 1, 0, 1, 1, -1, false, 1000 + first + i, false, false, now,
+                    now + 9_000_000);
+            sent += choice.route(now, session).kind() == Answer.Kind.SEND ? 1 : 0;
+        }
+        return sent;
+    }
+
+    /** A plan from before an exchange's restart, or its drain, undoes neither the cold guard nor the drain. */
+    @Test
+    void aPlanFromBeforeARestartUndoesNoGuard() {
+        long now = 100_000_000;
+        PlanKeeper planned = new PlanKeeper(SETTINGS, f -> { });
+        assertThat(planned.offer(now, plan(1, facts(now - 10_000_000, 1, 1000, 0, 0, 400, 0))))
+                .isEqualTo(PlanKeeper.Refusal.NONE);
+        int[] cold = new int[2];
+        int[] drained = new int[2];
+        for (int i = 0; i < 2; i++) {
+            Choice choice = new Choice(SETTINGS, new SplittableRandom(1), i == 0 ? planner : planned);
+            choice.roster(now, true, List.of(new Exchange(101, 1, Exchange.Phase.READY, now - 1000)));
+            choice.circuits(now, 101, 1000, 1000);
+            cold[i] = sent(choice, now, 1);
+            choice.roster(now + 1000, true, List.of(new Exchange(101, 1, Exchange.Phase.DRAINING, now - 1000)));
+            drained[i] = sent(choice, now + 1000, 100);
+        }
+        assertThat(cold[1]).isEqualTo(cold[0]).isBetween(1, 5);
+        assertThat(drained).containsExactly(0, 0);
+    }
+
+    /** A plan that comes between a session's INVITE and its retry changes targets, not where the session goes on. */
+    @Test
+    void aPlanInTheMiddleOfARetry() {
+        for (boolean comes : new boolean[] {false, true}) {
+            PlanKeeper planned = new PlanKeeper(SETTINGS, f -> { });
+            Choice choice = new Choice(SETTINGS, new SplittableRandom(1), planned);
+            choice.roster(1, true, List.of(new Exchange(101, 1, Exchange.Phase.READY, 0),
+                    new Exchange(102, 2, Exchange.Phase.READY, 0)));
+            choice.circuits(1, 101, 50, 50);
+            choice.circuits(1, 102, 50, 50);
+            Session session = new Session(1, 1, 0, 1, 1, -1, false, 55, false, false, 1, 9_000_000);
+            assertThat(choice.route(1, session)).isEqualTo(Answer.send(101, 8_999_999));
+            if (comes) {
+                assertThat(planned.offer(100_000, plan(1, facts(1, 1, 50, 0, 0, 400, 0), facts(1, 2, 50, 0, 0, 10, 0))))
+                        .isEqualTo(PlanKeeper.Refusal.NONE);
+            }
+            assertThat(choice.after(200_000, 1, Ending.NOT_SENT, Cause.NO_CIRCUIT, 101, 199_999, 0, false))
+                    .isEqualTo(Answer.send(102, 8_800_000));
+        }
+    }
 }
--- a/src/test/java/coralcove/config/TomlTest.java
+++ b/src/test/java/coralcove/config/TomlTest.java
@@ -57,4 +57,25 @@
                 toml -> ExchangeFile.of(toml).cold());
         assertThat(told.toString()).isEqualTo(Kept.trace("bad-settings"));
     }
+
+    /** A planner's store was read through a second table, and its key refused as not known. */
+    @Test
+    void takesAPlannerAndNumbersWithAllTheirKeys() throws Exception {
+        String edge = Files.readString(Path.of("deploy/examples/edge-0.toml")) + """
+
+                [planner]
+                listen = "tcp:127.0.0.1:15970"
+                store = "planner-0.store"
+
+                [numbers]
+                table = "numbers.table"
+                servers = "127.0.0.1:53, ns.example:5353"
+                budget_ms = 200
+                """;
+        EdgeFile file = EdgeFile.of(Toml.of("edge.toml", edge));
+        assertThat(file.store()).hasToString("planner-0.store");
+        assertThat(file.planner().port()).isEqualTo(15970);
+        assertThat(file.numbers().resolver().servers()).hasSize(2);
+        assertThat(file.numbers().porting().budget()).isEqualTo(200_000);
+    }
 }
