--- a/src/main/java/coralcove/Choice.java
+++ b/src/main/java/coralcove/Choice.java
@@ -627,6 +627,10 @@
         far.settingUp++;
         inFlight++;
         out.add(it.invite);
+        // Only quick answers look at it: what ended must not gather at an exchange that is slow for hours.
+        while (!far.out.isEmpty() && far.out.peek().ended) {
+            far.out.poll();
+        }
         far.out.add(it.invite);
         far.sends.add(now, 1);
         far.sentAt = now;
--- a/src/main/java/coralcove/PlanKeeper.java
+++ b/src/main/java/coralcove/PlanKeeper.java
@@ -110,13 +110,18 @@
             }
             any |= plan.seen()[i];
             some |= c0 > 0;
-            least = c0 > 0 ? Math.min(least, c1 > 0 ? Math.min(c0, c1) : c0) : least;
+            least = Math.min(least, least(c0, c1));
         }
         // β is ε times the least target a circuit; a class of more circuits than one makes it smaller.
         boolean bound = plan.beta() > 0 && plan.beta() <= Planner.EPSILON * least * (1 + ROUNDING);
         return !any || (some ? bound : plan.beta() == Double.POSITIVE_INFINITY);
     }
 
+    /** The lesser of a class's targets that are not 0; one that is not taken at all counts for nothing. */
+    private static double least(double c0, double c1) {
+        return c0 <= 0 ? Double.POSITIVE_INFINITY : c1 > 0 ? Math.min(c0, c1) : c0;
+    }
+
     // ---- age
 
     public Age age(long now, int number) {
@@ -143,7 +148,7 @@
             double over = c0[i] > 0 ? moved * c1[i] : 0;
             c0[i] += over;
             c1[i] -= over;
-            least = c0[i] > 0 ? Math.min(least, c1[i] > 0 ? Math.min(c0[i], c1[i]) : c0[i]) : least;
+            least = Math.min(least, least(c0[i], c1[i]));
         }
         beta = Math.min(beta, Planner.EPSILON * least);
         return new GroupPlan(plan.at(), plan.number(), beta, c0, c1, plan.seen(), plan.phantoms());
--- a/src/main/java/coralcove/cli/Commands.java
+++ b/src/main/java/coralcove/cli/Commands.java
@@ -75,6 +75,8 @@
     static final int RULE_BROKEN = 3;
     /** µs that a router told to end has for the answers it owes: longer than any caller waits. */
     private static final long LAST_ANSWERS = 30_000_000;
+    /** µs between two looks at the files of the table of numbers. */
+    private static final long LOOK_AT_TABLE = 1_000_000;
 
     @CommandLine.Spec
     private CommandLine.Model.CommandSpec spec;
@@ -119,9 +121,6 @@
         run(toml, table, name, self, core, null, null);
     }
 
-    /** µs between two looks at the files of the table of numbers. */
-    private static final long LOOK_AT_TABLE = 1_000_000;
-
     private static void run(Toml toml, String table, String name, Hop self, Core core, EdgeFile file, EdgeLink link)
             throws BadConfig {
         NumbersFile numbers = file == null ? null : file.numbers();
--- a/src/main/java/coralcove/dns/transport/DnsClient.java
+++ b/src/main/java/coralcove/dns/transport/DnsClient.java
@@ -1,6 +1,7 @@
 package coralcove.dns.transport;
 
 import coralcove.dns.Resolver;
+import coralcove.mina.Mina;
 import java.net.InetSocketAddress;
 import java.util.HashMap;
 import java.util.Map;
@@ -100,13 +101,6 @@
         streams.dispose(false);
     }
 
-    private static byte[] bytes(Object message) {
-        IoBuffer buffer = (IoBuffer) message;
-        byte[] bytes = new byte[buffer.remaining()];
-        buffer.get(bytes);
-        return bytes;
-    }
-
     private final class Outputs implements Resolver.Out {
         @Override
         public void datagram(int index, Resolver.Server to, byte[] bytes) {
@@ -165,7 +159,7 @@
     private final class Datagrams extends IoHandlerAdapter {
         @Override
         public void messageReceived(IoSession session, Object message) {
-            byte[] bytes = bytes(message);
+            byte[] bytes = Mina.bytes(message);
             run(() -> {
                 Place place = (Place) session.getAttribute(INDEX);
                 resolver.datagram(now(), place.socket, place.server, bytes, outputs);
@@ -182,7 +176,7 @@
     private final class Streams extends IoHandlerAdapter {
         @Override
         public void messageReceived(IoSession session, Object message) {
-            byte[] frame = Frames.take(session, bytes(message));
+            byte[] frame = Frames.take(session, Mina.bytes(message));
             if (frame != null) {
                 run(() -> resolver.stream(now(), (Long) session.getAttribute(KEY), frame, outputs));
             }
--- a/src/main/java/coralcove/dns/transport/DnsServer.java
+++ b/src/main/java/coralcove/dns/transport/DnsServer.java
@@ -1,6 +1,7 @@
 package coralcove.dns.transport;
 
 import coralcove.dns.PortabilityServer;
+import coralcove.mina.Mina;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.concurrent.Executors;
@@ -36,7 +37,7 @@
             datagrams.bind(at);
         } catch (IOException | RuntimeException e) {
             close();
-            throw new IOException("cannot listen on " + host + ":" + port + ": " + e.getMessage(), e);
+            throw Mina.cannotListen(host, port, e);
         }
     }
 
@@ -60,9 +61,7 @@
 
         @Override
         public void messageReceived(IoSession session, Object message) {
-            IoBuffer buffer = (IoBuffer) message;
-            byte[] read = new byte[buffer.remaining()];
-            buffer.get(read);
+            byte[] read = Mina.bytes(message);
             byte[] question = stream ? Frames.take(session, read) : read;
             if (question != null && !thread.isShutdown()) {
                 thread.execute(() -> server.ask(question, stream).forEach(packet -> thread.schedule(
--- a/src/main/java/coralcove/edge/EdgeCore.java
+++ b/src/main/java/coralcove/edge/EdgeCore.java
@@ -116,7 +116,7 @@
     private NumberDesk numbers;
     private EdgeLink link;
     private EdgeLink.Out linkOut;
-    /** The numbers in the roster, for the checks of tables on other threads. */
+    /** The numbers in the roster, also for the checks of tables on other threads. */
     private volatile Set<Integer> farEnds = Set.of();
     /** Whether the whole list has been asked for after a gap and has not come yet. */
     private boolean fetching;
@@ -259,14 +259,12 @@
     }
 
     private boolean reachable(int farEnd) {
-        return farEnd == settings.number()
-                || roster.values().stream().anyMatch(p -> p.exchange.number() == farEnd);
+        return farEnd == settings.number() || farEnds.contains(farEnd);
     }
 
     /** Whether the directory lists this far end, or has not told yet; asked from any thread. */
     public boolean mayReach(int farEnd) {
-        Set<Integer> all = farEnds;
-        return all.isEmpty() || farEnd == settings.number() || all.contains(farEnd);
+        return farEnds.isEmpty() || reachable(farEnd);
     }
 
     /** The far end is known: the module is asked, but for a call to the own lines. */
@@ -286,14 +284,11 @@
 
     // ---- the planner
 
-    /** Ticks the link to a planner from now on; told on the router's own thread. */
+    /** Ticks the link to a planner from now on; told once, on the router's own thread. */
     public void planner(long now, EdgeLink to, EdgeLink.Out over) {
-        boolean first = link == null;
         link = to;
         linkOut = over;
-        if (first) {
-            timers.set(now, this::tickLink);
-        }
+        timers.set(now, this::tickLink);
     }
 
     private void tickLink(long now, Out out) {
--- a/src/main/java/coralcove/numbers/NumberTable.java
+++ b/src/main/java/coralcove/numbers/NumberTable.java
@@ -79,7 +79,10 @@
 
     /** The rule that makes a number of what was dialled, null if none is needed. */
     public Rule rule(String dialled) {
-        String plain = plain(dialled);
+        return ruleOf(plain(dialled));
+    }
+
+    private Rule ruleOf(String plain) {
         if (plain.startsWith("+")) {
             return null;
         }
@@ -94,7 +97,7 @@
     /** The number meant by what was dialled; an {@link IllegalArgumentException} says why it can be none. */
     public long number(String dialled) {
         String plain = plain(dialled);
-        Rule rule = rule(dialled);
+        Rule rule = ruleOf(plain);
         String full = rule == null ? plain : rule.apply(plain);
         String digits = full.startsWith("+") ? full.substring(1) : full;
         if (digits.isEmpty()) {
--- a/src/main/java/coralcove/numbers/Search.java
+++ b/src/main/java/coralcove/numbers/Search.java
@@ -4,6 +4,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
+import java.util.function.Supplier;
 
 /**
  * One session's way from what was dialled to a far end, by the one table it began with. Asked for the next step; a step
@@ -37,7 +38,8 @@
     private int holder = -1;
     private long asked;
     private final Set<Long> seen = new HashSet<>();
-    private final List<String> steps = new ArrayList<>();
+    /** Put into words only when they are asked for: sessions are searched for, and hardly ever explained. */
+    private final List<Supplier<String>> steps = new ArrayList<>();
     private Step found;
 
     /** {@code limit} is the moment by which the caller must have its answer, in µs. */
@@ -55,7 +57,7 @@
 
     /** Why it goes where it goes, one line a step. */
     public List<String> steps() {
-        return steps;
+        return steps.stream().map(Supplier::get).toList();
     }
 
     /** Whether the far end or the refusal is known. */
@@ -70,7 +72,7 @@
         asked = 0;
         donor = -1;
         seen.clear();
-        steps.add("table " + now.version() + " instead");
+        steps.add(() -> "table " + now.version() + " instead");
     }
 
     /** The next step; the same one for good once there is a route or a refusal. */
@@ -79,14 +81,15 @@
             return found;
         }
         if (number == 0) {
-            NumberTable.Rule rule = table.rule(dialled);
+            NumberTable by = table;
             try {
                 number = table.number(dialled);
             } catch (IllegalArgumentException e) {
                 return refuse(484, "Address Incomplete", "dialled " + dialled + " " + e.getMessage());
             }
-            steps.add("dialled " + dialled + (rule == null ? "" : ", rule " + rule) + ": number "
-                    + Digits.text(number));
+            long meant = number;
+            steps.add(() -> "dialled " + dialled + (by.rule(dialled) == null ? "" : ", rule " + by.rule(dialled))
+                    + ": number " + Digits.text(meant));
         }
         return asked != 0 ? questioned(now, porting) : looked(now, porting);
     }
@@ -112,8 +115,8 @@
             return refuse(404, "Not Found", "no prefix of " + Digits.text(number));
         }
         Destination to = table.destination((int) longest);
-        String prefix = Digits.text(Digits.head(number, (int) (longest >>> 32)));
-        steps.add("prefix " + (prefix.isEmpty() ? "*" : prefix) + ": " + to.text());
+        long prefix = Digits.head(number, (int) (longest >>> 32));
+        steps.add(() -> "prefix " + (prefix == 0 ? "*" : Digits.text(prefix)) + ": " + to.text());
         return follow(now, porting, to, Hours.NEVER);
     }
 
@@ -122,7 +125,7 @@
             if (!far.services().isEmpty() && !far.services().contains(service)) {
                 return refuse(403, "Forbidden", "service " + service + " is not carried to it");
             }
-            steps.add("far end " + far.number());
+            steps.add(() -> "far end " + far.number());
             found = new Route(far.number(), Digits.text(number), until);
             return found;
         }
@@ -155,14 +158,14 @@
             Hours calendar = table.calendars().get(choice.calendar());
             until = Math.min(until, calendar.change(now));
             if (calendar.open(now)) {
-                steps.add("calendar " + choice.calendar() + " is open");
+                steps.add(() -> "calendar " + choice.calendar() + " is open");
                 return follow(now, porting, choice.to(), until);
             }
         }
         if (hours.otherwise() == null) {
             return refuse(480, "Temporarily Unavailable", "no calendar is open");
         }
-        steps.add("no calendar is open");
+        steps.add(() -> "no calendar is open");
         return follow(now, porting, hours.otherwise(), until);
     }
 
@@ -183,19 +186,20 @@
             return donor("has not moved");
         }
         number = goes.routing();
-        steps.add("ported: routing number " + Digits.text(number) + (goes.stale() ? ", past its lifetime" : ""));
+        steps.add(() -> "ported: routing number " + Digits.text(goes.routing()) + (goes.stale() ? ", past its lifetime" : ""));
         return looked(now, porting);
     }
 
     private Step donor(String reason) {
         asked = 0;
-        steps.add(reason + ": donor, far end " + holder);
+        int to = holder;
+        steps.add(() -> reason + ": donor, far end " + to);
         found = new Route(holder, Digits.text(number), Hours.NEVER);
         return found;
     }
 
     private Step refuse(int status, String reason, String why) {
-        steps.add(why + ": " + status);
+        steps.add(() -> why + ": " + status);
         found = new Refused(status, reason, "");
         return found;
     }
--- a/src/main/java/coralcove/numbers/file/HoursReader.java
+++ b/src/main/java/coralcove/numbers/file/HoursReader.java
@@ -20,10 +20,16 @@
     public static final class Bad extends Exception {
         private static final long serialVersionUID = 1;
         private final int column;
+        private final String reason;
 
         Bad(int column, String reason) {
             super("column " + column + ": " + reason);
             this.column = column;
+            this.reason = reason;
+        }
+
+        public String reason() {
+            return reason;
         }
 
         public int column() {
--- a/src/main/java/coralcove/numbers/file/TableReader.java
+++ b/src/main/java/coralcove/numbers/file/TableReader.java
@@ -158,7 +158,7 @@
         try {
             calendars.put(words[1], HoursReader.read(text.substring(at), ZoneId.of(words[2]), holidays));
         } catch (HoursReader.Bad e) {
-            throw bad("column " + (at + e.column()) + ": " + e.getMessage().replaceFirst("column \\d+: ", ""));
+            throw bad("column " + (at + e.column()) + ": " + e.reason());
         } catch (DateTimeException e) {
             throw bad(words[2] + " is no time zone");
         }
--- a/src/main/java/coralcove/planner/EdgeLink.java
+++ b/src/main/java/coralcove/planner/EdgeLink.java
@@ -2,7 +2,6 @@
 
 import coralcove.PlanKeeper;
 import coralcove.Settings;
-import java.util.HashMap;
 import java.util.Map;
 import java.util.TreeMap;
 
@@ -39,7 +38,6 @@
     private static final class Peer {
         final Frame.Framer framer = new Frame.Framer();
         long heard;
-        long start;
 
         Peer(long heard) {
             this.heard = heard;
@@ -102,7 +100,7 @@
                 if (!peers.containsKey(connection)) {
                     return;
                 }
-                take(now, connection, peer, Frame.read(each), out);
+                take(now, connection, Frame.read(each), out);
             }
         } catch (Frame.Bad e) {
             count("bad-frame");
@@ -110,9 +108,9 @@
         }
     }
 
-    private void take(long now, long connection, Peer peer, Frame frame, Out out) {
+    private void take(long now, long connection, Frame frame, Out out) {
         if (frame instanceof Frame.Hello hello) {
-            hello(now, connection, peer, hello, out);
+            hello(now, connection, hello, out);
         } else if (connection != planner) {
             count("unknown-peer");
             drop(connection, "spoke before it said who it is", out);
@@ -128,7 +126,7 @@
         }
     }
 
-    private void hello(long now, long connection, Peer peer, Frame.Hello hello, Out out) {
+    private void hello(long now, long connection, Frame.Hello hello, Out out) {
         String reason = !hello.planner() ? "not a planner"
                 : hello.router() != settings.ownNumber() ? "a planner for router " + hello.router()
                 : hello.classes() != 2 * settings.services().size() ? "a planner of " + hello.classes() + " classes"
@@ -140,7 +138,6 @@
             return;
         }
         planner = connection;
-        peer.start = hello.start();
         factsAt = now;
         aliveAt = now + ALIVE;
         // What the last planner heard and did not plan would be missing until the next refresh, or the one after.
@@ -193,9 +190,9 @@
 
     /** Counters for a report. */
     public Map<String, Long> report() {
-        Map<String, Long> all = new HashMap<>(counts);
+        Map<String, Long> all = new TreeMap<>(counts);
         all.put("facts-dropped", facts.counts()[0]);
         all.put("facts-thinned", facts.counts()[1]);
-        return new TreeMap<>(all);
+        return all;
     }
 }
--- a/src/main/java/coralcove/planner/FactsOut.java
+++ b/src/main/java/coralcove/planner/FactsOut.java
@@ -68,10 +68,6 @@
         waiting.putAll(unplanned);
         unplanned.clear();
         later.values().forEach(this::add);
-        while (waiting.size() > most) {
-            waiting.remove(waiting.keySet().iterator().next());
-            dropped++;
-        }
     }
 
     public int waiting() {
--- a/src/main/java/coralcove/planner/store/FactStore.java
+++ b/src/main/java/coralcove/planner/store/FactStore.java
@@ -3,7 +3,6 @@
 import coralcove.GroupFacts;
 import coralcove.planner.Frame;
 import java.io.IOException;
-import java.nio.ByteBuffer;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.nio.file.StandardCopyOption;
@@ -12,7 +11,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.function.Consumer;
-import java.util.zip.CRC32C;
 import org.h2.mvstore.MVMap;
 import org.h2.mvstore.MVStore;
 import org.h2.mvstore.MVStoreException;
@@ -23,10 +21,6 @@
  * writing: the planner goes on in each case, and says what it left. One thread owns it.
  */
 public final class FactStore implements AutoCloseable {
-    /** Version of an entry's form: the link's frame. */
-    private static final byte FORM = 1;
-    /** Bytes before an entry's frame: form and checksum. */
-    private static final int HEAD = 5;
     /** Stores put aside at most; past it the oldest name is used again. */
     private static final int MOST_ASIDE = 5;
 
@@ -137,29 +131,17 @@
         }
     }
 
+    /** The frame has the form's version and the checksum. */
     private static byte[] bytes(GroupFacts facts) {
-        byte[] frame = new Frame.Facts(List.of(facts)).bytes();
-        ByteBuffer all = ByteBuffer.allocate(HEAD + frame.length);
-        all.put(FORM).putInt(sum(frame)).put(frame);
-        return all.array();
-    }
-
-    private static int sum(byte[] bytes) {
-        CRC32C sum = new CRC32C();
-        sum.update(bytes);
-        return (int) sum.getValue();
+        return new Frame.Facts(List.of(facts)).bytes();
     }
 
     private static GroupFacts sound(byte[] entry) {
-        if (entry.length <= HEAD + 4 || entry[0] != FORM) {
-            return null;
-        }
-        byte[] frame = Arrays.copyOfRange(entry, HEAD, entry.length);
-        if (sum(frame) != ByteBuffer.wrap(entry, 1, 4).getInt()) {
+        if (entry.length < Frame.HEAD) {
             return null;
         }
         try {
-            Frame read = Frame.read(Arrays.copyOfRange(frame, 4, frame.length));
+            Frame read = Frame.read(Arrays.copyOfRange(entry, 4, entry.length));
             return read instanceof Frame.Facts facts && facts.groups().size() == 1 ? facts.groups().get(0) : null;
         } catch (Frame.Bad e) {
             return null;
--- a/src/main/java/coralcove/planner/transport/EdgePort.java
+++ b/src/main/java/coralcove/planner/transport/EdgePort.java
@@ -1,5 +1,6 @@
 package coralcove.planner.transport;
 
+import coralcove.mina.Mina;
 import coralcove.planner.EdgeLink;
 import java.io.IOException;
 import java.net.InetSocketAddress;
@@ -38,7 +39,7 @@
 
             @Override
             public void messageReceived(IoSession session, Object message) {
-                byte[] bytes = bytes(message);
+                byte[] bytes = Mina.bytes(message);
                 thread.run(now -> link.read(now, session.getId(), bytes, EdgePort.this));
             }
 
@@ -57,17 +58,10 @@
             acceptor.bind(new InetSocketAddress(host, port));
         } catch (IOException | RuntimeException e) {
             close();
-            throw new IOException("cannot listen on " + host + ":" + port + ": " + e.getMessage(), e);
+            throw Mina.cannotListen(host, port, e);
         }
     }
 
-    static byte[] bytes(Object message) {
-        IoBuffer buffer = (IoBuffer) message;
-        byte[] bytes = new byte[buffer.remaining()];
-        buffer.get(bytes);
-        return bytes;
-    }
-
     @Override
     public void send(long connection, byte[] bytes) {
         IoSession session = open.get(connection);
--- a/src/main/java/coralcove/planner/transport/PlannerPort.java
+++ b/src/main/java/coralcove/planner/transport/PlannerPort.java
@@ -1,5 +1,6 @@
 package coralcove.planner.transport;
 
+import coralcove.mina.Mina;
 import coralcove.planner.PlannerCore;
 import coralcove.planner.store.FactStore;
 import java.net.InetSocketAddress;
@@ -43,7 +44,7 @@
         connector.setHandler(new IoHandlerAdapter() {
             @Override
             public void messageReceived(IoSession from, Object message) {
-                byte[] bytes = EdgePort.bytes(message);
+                byte[] bytes = Mina.bytes(message);
                 run(now -> {
                     if (from == session) {
                         core.read(now, bytes, PlannerPort.this);
--- a/src/main/java/coralcove/rehearsal/DialPlan.java
+++ b/src/main/java/coralcove/rehearsal/DialPlan.java
@@ -25,15 +25,12 @@
 
     private final int exchanges;
     private final Day.Numbers numbers;
-    private final long[] beside;
+    /** Made for the first table: a plan that only dials needs none. */
+    private long[] beside;
 
     DialPlan(int exchanges, Day.Numbers numbers) {
         this.exchanges = exchanges;
         this.numbers = numbers;
-        beside = new long[numbers.beside()];
-        for (int i = 0; i < beside.length; i++) {
-            beside[i] = Digits.pack(BESIDE + String.format("%07d", i));
-        }
     }
 
     /** What a caller dials to reach a line at {@code farEnd} while table 1 is in service. */
@@ -51,6 +48,10 @@
 
     /** The table of a version, from 1 on. */
     NumberTable table(long version) {
+        if (beside == null) {
+            beside = new long[numbers.beside()];
+            Arrays.setAll(beside, i -> Digits.pack(BESIDE + String.format("%07d", i)));
+        }
         Destination[] to = new Destination[2 * exchanges + 2];
         long[] keys = new long[3 * exchanges + beside.length];
         int[] values = new int[keys.length];
--- a/src/main/java/coralcove/rehearsal/Rehearsal.java
+++ b/src/main/java/coralcove/rehearsal/Rehearsal.java
@@ -37,6 +37,8 @@
     private static final long LAST_ACT = 100_000;
     /** Steps in which an ageing exchange grows slower. */
     private static final int AGE_STEPS = 20;
+    /** µs around a replacement in which a session may have either table: an INVITE read before is looked at after. */
+    private static final long TABLE_DOUBT = 1_000_000;
 
     private final Day day;
     private final long seed;
@@ -142,9 +144,6 @@
         edges.forEach((name, core) -> network.on(name, (now, out) -> core.replace(now, table, out)));
     }
 
-    /** µs around a replacement in which a session may have either table: an INVITE read before is looked at after. */
-    private static final long TABLE_DOUBT = 1_000_000;
-
     /** What the judge holds the routers against. */
     static Judge.FarEnds farEnds(Day day, long zero) {
         DialPlan plan = new DialPlan(day.exchanges(), day.numbers());
--- a/src/main/java/coralcove/rehearsal/Rehearse.java
+++ b/src/main/java/coralcove/rehearsal/Rehearse.java
@@ -93,17 +93,14 @@
             LiveNetwork network = new LiveNetwork(order, day.weather(), seed);
             try {
                 int first = freePorts(Rehearsal.ports(day));
-                if (day.numbers() == null) {
-                    stats = new Rehearsal(day, seed, policy, network, first, order, null).play();
-                    numbers = new long[0];
-                } else {
+                if (day.numbers() != null) {
                     judge.numbers(Rehearsal.farEnds(day, Rehearsal.zero(network.now())));
-                    try (Portability portability = Portability.live(network, server(day, seed), "127.0.0.1",
-                            first + 2 * day.exchanges() + 1)) {
-                        Rehearsal played = new Rehearsal(day, seed, policy, network, first, order, portability);
-                        stats = played.play();
-                        numbers = played.numbers();
-                    }
+                }
+                try (Portability portability = day.numbers() == null ? null : Portability.live(network,
+                        server(day, seed), "127.0.0.1", first + 2 * day.exchanges() + 1)) {
+                    Rehearsal played = new Rehearsal(day, seed, policy, network, first, order, portability);
+                    stats = played.play();
+                    numbers = played.numbers();
                 }
             } finally {
                 network.close();
--- a/src/main/java/coralcove/sip/transport/Sockets.java
+++ b/src/main/java/coralcove/sip/transport/Sockets.java
@@ -1,5 +1,6 @@
 package coralcove.sip.transport;
 
+import coralcove.mina.Mina;
 import coralcove.sip.BadMessage;
 import coralcove.sip.Hop;
 import coralcove.sip.SipParser;
@@ -77,7 +78,7 @@
             datagrams.bind(local);
         } catch (IOException | RuntimeException e) {
             close();
-            throw new IOException("cannot listen on " + self.host() + ":" + self.port() + ": " + e.getMessage(), e);
+            throw Mina.cannotListen(self.host(), self.port(), e);
         }
     }
 
@@ -176,13 +177,6 @@
         return known != null ? known : remote(session, true);
     }
 
-    private static byte[] bytes(Object message) {
-        IoBuffer buffer = (IoBuffer) message;
-        byte[] bytes = new byte[buffer.remaining()];
-        buffer.get(bytes);
-        return bytes;
-    }
-
     @Override
     public void close() {
         closed = true;
@@ -196,7 +190,7 @@
     private final class Datagram extends IoHandlerAdapter {
         @Override
         public void messageReceived(IoSession session, Object message) {
-            byte[] bytes = bytes(message);
+            byte[] bytes = Mina.bytes(message);
             // RFC 5626 keep-alives carry nothing.
             if (bytes.length > 4) {
                 listener.read(remote(session, false), bytes);
@@ -225,7 +219,7 @@
 
         @Override
         public void messageReceived(IoSession session, Object message) {
-            byte[] bytes = bytes(message);
+            byte[] bytes = Mina.bytes(message);
             Hop from = remote(session, true);
             try {
                 ((StreamFramer) session.getAttribute(FRAMER)).take(bytes, 0, bytes.length,
