--- a/src/main/java/coralcove/cli/Commands.java
+++ b/src/main/java/coralcove/cli/Commands.java
@@ -7,6 +7,7 @@
 import coralcove.Settings;
 import coralcove.baseline.Policies;
 import coralcove.config.BadConfig;
+import coralcove.config.Starts;
 import coralcove.config.Toml;
 import coralcove.directory.DirectoryCore;
 import coralcove.directory.DirectoryFile;
@@ -294,7 +295,7 @@
         void serve(Toml toml) throws BadConfig {
             DirectoryFile file = DirectoryFile.of(toml);
             Commands.run(toml, "directory", "directory", file.listen(), new DirectoryCore(file.listen(), file.late(),
-                    Long.toString(System.nanoTime() & 0xffffffffL, 36)));
+                    Starts.tag()));
         }
     }
 
--- a/src/main/java/coralcove/config/Hops.java
+++ b/src/main/java/coralcove/config/Hops.java
@@ -1,13 +1,47 @@
 package coralcove.config;
 
+import com.fasterxml.jackson.databind.JsonNode;
 import coralcove.sip.Hop;
+import java.util.ArrayList;
+import java.util.List;
 
 /** Addresses in settings files: "udp:127.0.0.1:5060" or "tcp:127.0.0.1:5060". */
 public final class Hops {
+    /** Addresses in one list at most. */
+    private static final int MOST = 8;
+
     private Hops() {}
 
+    /** Reads an address that has been checked, as {@link Hop#toString} writes it; the colon of the port is the last. */
+    public static Hop of(String text) {
+        int colon = text.lastIndexOf(':');
+        return new Hop(text.startsWith("tcp:"), text.substring(4, colon), Integer.parseInt(text.substring(colon + 1)));
+    }
+
+    /** One address, or several in a list under the same key. */
+    public static List<Hop> readAll(Toml.Table table, String key) throws BadConfig {
+        if (table.node(key) == null || !table.node(key).isArray()) {
+            return List.of(read(table, key));
+        }
+        List<Hop> hops = new ArrayList<>();
+        for (JsonNode each : table.node(key)) {
+            Hop hop = read(table, key, each.asText());
+            if (hops.contains(hop)) {
+                throw table.bad(key, "has \"" + hop + "\" twice");
+            }
+            hops.add(hop);
+        }
+        if (hops.isEmpty() || hops.size() > MOST) {
+            throw table.bad(key, "has " + hops.size() + " addresses; 1 to " + MOST + " are possible");
+        }
+        return List.copyOf(hops);
+    }
+
     public static Hop read(Toml.Table table, String key) throws BadConfig {
-        String text = table.text(key);
+        return read(table, key, table.text(key));
+    }
+
+    private static Hop read(Toml.Table table, String key, String text) throws BadConfig {
         int colon = text.lastIndexOf(':');
         boolean tcp = text.startsWith("tcp:");
         if (!tcp && !text.startsWith("udp:") || colon < 5) {
--- a/src/main/java/coralcove/edge/EdgeCore.java
+++ b/src/main/java/coralcove/edge/EdgeCore.java
@@ -4,7 +4,6 @@
 import coralcove.CallRouter;
 import coralcove.Cause;
 import coralcove.Ending;
-import coralcove.Exchange;
 import coralcove.Exchange.Phase;
 import coralcove.Session;
 import coralcove.Waiting;
@@ -17,7 +16,6 @@
 import coralcove.protocol.Refusal;
 import coralcove.sip.Hop;
 import coralcove.sip.Out;
-import coralcove.sip.Params;
 import coralcove.sip.SipMessage;
 import coralcove.sip.SipUri;
 import coralcove.sip.Timers;
@@ -26,22 +24,22 @@
 import coralcove.sip.dialog.Call;
 import coralcove.sip.transaction.ClientTx;
 import coralcove.sip.transaction.ServerTx;
+import coralcove.sources.Belief;
+import coralcove.sources.Roster;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
+import java.util.SplittableRandom;
 import java.util.TreeMap;
-import java.util.stream.Collectors;
+import java.util.function.Consumer;
 
 /**
  * One call router: it tells the module what happens and does what the module decides. Back to back user agent:
  * a session is a leg in and, one after another, legs out, all through the own exchange. It decides nothing.
  */
-public final class EdgeCore extends AgentCore {
-    /** Seconds a subscription is asked for; it is renewed after half of that. */
-    private static final int SUBSCRIBED = 60;
+public final class EdgeCore extends AgentCore implements RosterDesk.User {
     private static final String BUSY = "Temporarily Unavailable";
     /** Bytes: a peer message longer than this is dropped and counted (the module's own bound is 256). */
     private static final int LONGEST_NEWS = 512;
@@ -93,22 +91,14 @@
         }
     }
 
-    /** One line of the roster with the address of its router. */
-    private record Place(Exchange exchange, Hop edge, long version) {
-        Place at(long news) {
-            return new Place(exchange, edge, news);
-        }
-    }
-
     private final EdgeSettings settings;
     private final CallRouter router;
     private final Trunks trunks = new Trunks();
-    private final Map<Long, Place> roster = new LinkedHashMap<>();
+    private final RosterDesk roster;
     private final Map<Long, Held> open = new LinkedHashMap<>();
     private final Map<String, Held> bySession = new HashMap<>();
     private final TreeMap<Integer, int[]> toldCircuits = new TreeMap<>();
     private long nextId = 1;
-    private long listVersion = -1;
     private int unanswered;
     private Timers.Timer wake;
     private long wakeAt;
@@ -116,15 +106,22 @@
     private NumberDesk numbers;
     private EdgeLink link;
     private EdgeLink.Out linkOut;
-    /** The numbers in the roster, also for the checks of tables on other threads. */
-    private volatile Set<Integer> farEnds = Set.of();
-    /** Whether the whole list has been asked for after a gap and has not come yet. */
-    private boolean fetching;
-
     public EdgeCore(EdgeSettings settings, CallRouter router) {
         super(settings.self(), settings.start());
         this.settings = settings;
         this.router = router;
+        roster = new RosterDesk(settings, agent, timers, router, this, new SplittableRandom(settings.seed()
+                ^ settings.start().hashCode()));
+    }
+
+    /** What was kept before this start, and who keeps what is said from now on; told before the start. */
+    public int resume(long now, List<Roster.Said> kept, Consumer<List<Roster.Said>> keep) {
+        return roster.resume(now, kept, keep);
+    }
+
+    /** What sources say and what is believed. */
+    public Roster roster() {
+        return roster.roster();
     }
 
     /** Takes nothing new from now on; {@link #idle} tells when all that is held has its answer. */
@@ -144,7 +141,7 @@
 
     @Override
     public void start(long now, Out out) {
-        subscribe(now, "trunk-groups", settings.exchange(), out);
+        roster.start(now, out);
         if (numbers != null) {
             timers.set(now + SWEEP, this::sweep);
         }
@@ -183,7 +180,7 @@
     private void rest(long now, Out out) {
         Waiting waiting = router.waiting(now);
         if (waiting.subscribe()) {
-            subscribe(now, "exchanges", settings.directory(), out);
+            roster.ask(now, out);
         }
         waiting.probes().forEach(id -> probe(now, id, out));
         for (byte[] body : waiting.broadcasts()) {
@@ -259,12 +256,12 @@
     }
 
     private boolean reachable(int farEnd) {
-        return farEnd == settings.number() || farEnds.contains(farEnd);
+        return farEnd == settings.number() || roster.farEnds().contains(farEnd);
     }
 
     /** Whether the directory lists this far end, or has not told yet; asked from any thread. */
     public boolean mayReach(int farEnd) {
-        return farEnds.isEmpty() || reachable(farEnd);
+        return roster.farEnds().isEmpty() || reachable(farEnd);
     }
 
     /** The far end is known: the module is asked, but for a call to the own lines. */
@@ -441,8 +438,8 @@
     }
 
     private void send(long now, Held held, Answer answer, Out out) {
-        Place place = roster.get(answer.exchange());
-        int number = place == null ? -1 : place.exchange.number();
+        RosterDesk.Place place = roster.place(answer.exchange());
+        int number = place == null ? -1 : place.exchange().number();
         Leg leg = new Leg(held, number, answer.exchange(), now);
         held.leg = leg;
         if (place == null) {
@@ -458,7 +455,7 @@
         circuits(now, number);
         SipMessage invite = outgoing(held, answer.time());
         invite.set("X-Origin", Integer.toString(settings.number()));
-        invite.add("Route", "<" + SipUri.text(Integer.toString(number), place.edge) + ";lr>");
+        invite.add("Route", "<" + SipUri.text(Integer.toString(number), place.edge()) + ";lr>");
         out.log("invite", held.in.sessionId(), "to " + answer.exchange() + " number " + number);
         leg.call = agent.invite(now, invite, settings.exchange(), leg, out);
         leg.limit = timers.set(now + answer.time(), (at, o) -> {
@@ -652,35 +649,30 @@
             return;
         }
         toldCircuits.put(number, new int[] {free, size});
-        for (Place place : roster.values()) {
-            if (place.exchange.number() == number) {
-                router.circuits(now, place.exchange.id(), free, size);
+        for (Belief each : roster.beliefs()) {
+            if (each.exchange().number() == number) {
+                router.circuits(now, each.exchange().id(), free, size);
             }
         }
     }
 
     // ---- news
 
-    private void subscribe(long now, String event, Hop to, Out out) {
-        SipMessage request = agent.request("SUBSCRIBE", SipUri.text("", to)).add("Event", event)
-                .add("Expires", Integer.toString(SUBSCRIBED)).add("X-Number", Integer.toString(settings.number()));
-        agent.send(now, request, to, event, out);
-    }
-
     private void probe(long now, long id, Out out) {
-        Place place = roster.get(id);
+        RosterDesk.Place place = roster.place(id);
         if (place != null) {
-            SipMessage request = agent.request("OPTIONS", SipUri.text("", place.edge)).add("X-Probe", "yes");
-            agent.send(now, request, place.edge, new Object[] {id, now}, out);
+            SipMessage request = agent.request("OPTIONS", SipUri.text("", place.edge())).add("X-Probe", "yes");
+            agent.send(now, request, place.edge(), new Object[] {id, now}, out);
         }
     }
 
     private void tell(byte[] body, Out out) {
-        for (Place place : roster.values()) {
-            if (place.exchange.number() != settings.number() && place.exchange.phase() == Phase.READY) {
-                SipMessage message = agent.request("MESSAGE", SipUri.text("", place.edge));
+        for (Belief each : roster.beliefs()) {
+            if (each.exchange().number() != settings.number() && each.exchange().phase() == Phase.READY) {
+                Hop edge = roster.edge(each);
+                SipMessage message = agent.request("MESSAGE", SipUri.text("", edge));
                 message.add("X-Number", Integer.toString(settings.number()));
-                agent.sendOnce(message.body("application/octet-stream", body), place.edge.over(false), out);
+                agent.sendOnce(message.body("application/octet-stream", body), edge.over(false), out);
             }
         }
     }
@@ -689,7 +681,7 @@
     public void request(long now, ServerTx tx, Hop from, Out out) {
         SipMessage request = tx.request();
         switch (request.method()) {
-            case "NOTIFY" -> notified(now, tx, out);
+            case "NOTIFY" -> roster.subscriber().notified(now, tx, from, out);
             case "MESSAGE" -> {
                 if (request.body().length <= LONGEST_NEWS) {
                     router.peer(now, (int) request.number("X-Number", -1), request.body());
@@ -713,6 +705,9 @@
     @Override
     public void replied(long now, ClientTx tx, SipMessage response, Out out) {
         boolean good = response != null && response.status() < 300;
+        if (roster.subscriber().replied(now, tx, response, out)) {
+            return;
+        }
         if (tx.owner() instanceof ServerTx asked) {
             SipMessage reply = agent.reply(asked, good ? 200 : 503, good ? "OK" : "No Answer");
             if (good) {
@@ -722,8 +717,6 @@
         } else if (tx.owner() instanceof Object[] probe) {
             router.report(now, (Long) probe[0], good, now - (Long) probe[1],
                     good ? columns(response.header("X-Load", "")) : new float[0]);
-        } else if (tx.owner() instanceof String event) {
-            subscribed(now, event, good, out);
         }
     }
 
@@ -740,89 +733,14 @@
         return columns;
     }
 
-    private void subscribed(long now, String event, boolean good, Out out) {
-        fetching &= good || !event.equals("exchanges");
-        if (event.equals("exchanges") && !good) {
-            out.log("directory-lost", "", "");
-            router.rosterLost(now);
-            return;
-        }
-        Hop to = event.equals("exchanges") ? settings.directory() : settings.exchange();
-        timers.set(now + (good ? SUBSCRIBED * 500_000L : 1_000_000), (at, o) -> subscribe(at, event, to, o));
-    }
-
-    private void notified(long now, ServerTx tx, Out out) {
-        SipMessage notify = tx.request();
-        String event = Params.of(notify.header("Event", "")).value();
-        List<String> lines = notify.text().lines().toList();
-        boolean taken = event.equals("exchanges") ? exchanges(now, lines, out)
-                : event.equals("trunk-groups") && groups(now, lines);
-        agent.respond(now, tx, taken ? agent.reply(tx, 200, "OK") : agent.reply(tx, 400, "Bad Request"), out);
-    }
-
-    /** The list: a first line "version N full|changes [after M]", then lines as {@link #place} reads them. */
-    private boolean exchanges(long now, List<String> lines, Out out) {
-        String[] first = lines.isEmpty() ? new String[0] : lines.get(0).split(" ");
-        List<Place> places = new ArrayList<>();
-        long version;
-        long after;
-        try {
-            if (first.length < 3 || !first[0].equals("version")) {
-                return false;
-            }
-            version = Long.parseLong(first[1]);
-            after = first[2].equals("full") ? -1 : Long.parseLong(first[4]);
-            for (String line : lines.subList(1, lines.size())) {
-                places.add(place(line));
-            }
-        } catch (IllegalArgumentException | IndexOutOfBoundsException e) {
-            agent.count("bad-notify");
-            return false;
-        }
-        boolean full = first[2].equals("full");
-        // Each line counts by its own version: news of a drain is taken as it is read, also across a gap, and an
-        // older message that comes later takes nothing back.
-        boolean news = full;
-        for (Place place : places) {
-            Place known = roster.get(place.exchange.id());
-            if (version > (known == null ? listVersion : known.version)) {
-                roster.put(place.exchange.id(), place.at(version));
-                news = true;
-            }
-        }
-        if (full) {
-            fetching = false;
-            roster.values().removeIf(known -> known.version < version);
-        } else if (after > listVersion && !fetching) {
-            fetching = true;
-            subscribe(now, "exchanges", settings.directory(), out);
-        }
-        if (full || after <= listVersion) {
-            listVersion = Math.max(listVersion, version);
-        }
-        if (!news) {
-            return true;
-        }
-        router.roster(now, full, (full ? roster.values() : places).stream().map(p -> roster.get(p.exchange.id()).exchange)
-                .toList());
-        farEnds = roster.values().stream().map(p -> p.exchange.number()).collect(Collectors.toUnmodifiableSet());
+    @Override
+    public void rostered(long now) {
         toldCircuits.clear();
         trunks.numbers().forEach(number -> circuits(now, number));
-        out.log("roster", "", "version " + version + (full ? " full" : "") + " " + places.size() + " lines");
-        return true;
-    }
-
-    /** "id number ready|draining|gone since host:port". */
-    private static Place place(String line) {
-        String[] parts = line.split(" ");
-        int colon = parts[4].lastIndexOf(':');
-        Hop hop = new Hop(parts[4].startsWith("tcp:"), parts[4].substring(4, colon),
-                Integer.parseInt(parts[4].substring(colon + 1)));
-        return new Place(new Exchange(Long.parseLong(parts[0]), Integer.parseInt(parts[1]),
-                Phase.valueOf(parts[2].toUpperCase(java.util.Locale.ROOT)), Long.parseLong(parts[3])), hop, 0);
     }
 
-    private boolean groups(long now, List<String> lines) {
+    @Override
+    public boolean groups(long now, List<String> lines) {
         try {
             for (String line : lines) {
                 String[] parts = line.split(" ");
@@ -831,7 +749,6 @@
             }
             return true;
         } catch (IllegalArgumentException | IndexOutOfBoundsException e) {
-            agent.count("bad-notify");
             return false;
         }
     }
--- a/src/main/java/coralcove/edge/EdgeFile.java
+++ b/src/main/java/coralcove/edge/EdgeFile.java
@@ -5,6 +5,7 @@
 import coralcove.config.BadConfig;
 import coralcove.config.Hops;
 import coralcove.config.ServiceTable;
+import coralcove.config.Starts;
 import coralcove.config.Toml;
 import coralcove.sip.Hop;
 import java.nio.file.Path;
@@ -50,8 +51,7 @@
                 true, release, rules.number("fall_multiple", 1, 100), rules.millis("fall_ms", 1, 60_000),
                 rules.number("cold_from", 0.01, 1), rules.seconds("warm_s", 0.01, 600));
         EdgeSettings settings = new EdgeSettings(number, Hops.read(edge, "listen"), Hops.read(edge, "exchange"),
-                Hops.read(edge, "directory"), module, margin, mostOpen, seed,
-                Long.toString(System.nanoTime() & 0xffffffffL, 36));
+                Hops.readAll(edge, "directory"), module, margin, mostOpen, seed, Starts.tag());
         if (settings.self().port() == settings.exchange().port() && settings.self().host().equals(
                 settings.exchange().host())) {
             throw edge.bad("exchange", "is the router's own address");
--- a/src/main/java/coralcove/exchange/ExchangeCore.java
+++ b/src/main/java/coralcove/exchange/ExchangeCore.java
@@ -11,6 +11,7 @@
 import coralcove.sip.dialog.Agent;
 import coralcove.sip.dialog.AgentCore;
 import coralcove.sip.dialog.Call;
+import coralcove.sip.event.Notifier;
 import coralcove.sip.transaction.ClientTx;
 import coralcove.sip.transaction.ServerTx;
 import java.util.ArrayDeque;
@@ -30,6 +31,7 @@
 public final class ExchangeCore extends AgentCore {
     /** µs between two REGISTERs to the directory. */
     private static final long REGISTER_EVERY = 1_000_000;
+    private static final Object REGISTERED = "registered";
     /** Load columns are smoothed over this many µs. */
     private static final double UTIL_SPAN = 1_000_000;
 
@@ -76,9 +78,16 @@
     private final Set<Line> lines = new LinkedHashSet<>();
     private final Set<Caller> up = new LinkedHashSet<>();
     private final ArrayDeque<Long> coldSetUps = new ArrayDeque<>();
-    private Hop groupWatcher;
+    private final Notifier groupNews;
+    private long groupVersion;
+    /** Directories that have not answered a REGISTER of this start yet. */
+    private final Set<Hop> unknown = new LinkedHashSet<>();
+    private Timers.Timer nextRegister;
+    /** What it says of itself, its number of this start, and the signs of life in it. */
+    private String phase = "ready";
+    private long start;
+    private long beat;
     private double loseAnswers;
-    private boolean draining;
     private boolean fallen;
     private long sessionIds;
     private long lastWorked;
@@ -93,6 +102,8 @@
         this.stats = stats;
         chance = new SplittableRandom(settings.seed());
         groups = new TreeMap<>(settings.groups());
+        groupNews = new Notifier(agent, timers, "trunk-groups", settings.start(), this::groups);
+        unknown.addAll(settings.directories());
         ExchangeSettings.Rules rules = settings.rules();
         processor = new Processor(timers, settings.since(), rules.coldFrom(), rules.warmUp());
     }
@@ -108,6 +119,7 @@
         while (!arrivals.isEmpty() && arrivals.peek().at() < now) {
             arrivals.poll();
         }
+        start = settings.since() > 0 ? settings.since() : now;
         register(now, out);
         nextArrival();
     }
@@ -123,11 +135,33 @@
         if (fallen) {
             return;
         }
-        SipMessage register = agent.request("REGISTER", SipUri.text("", settings.directory()));
-        register.add("X-Exchange", settings.id() + " " + settings.number() + " " + (draining ? "draining" : "ready")
-                + " " + settings.since() + " " + settings.edge());
-        agent.sendOnce(register, settings.directory(), out);
-        timers.set(now + REGISTER_EVERY, this::register);
+        beat++;
+        for (Hop directory : settings.directories()) {
+            String age = settings.since() == 0 ? "-" : Long.toString(Math.max(0, now - settings.since()));
+            SipMessage register = agent.request("REGISTER", SipUri.text("", directory));
+            register.add("X-Exchange", settings.id() + " " + settings.number() + " " + phase + " " + start + " " + beat
+                    + " " + age + " " + settings.edge());
+            if (unknown.remove(directory)) {
+                agent.send(now, register, directory, REGISTERED, out);
+            } else {
+                agent.sendOnce(register, directory, out);
+            }
+        }
+        if (!phase.equals("left")) {
+            timers.cancel(nextRegister);
+            nextRegister = timers.set(now + REGISTER_EVERY, this::register);
+        }
+    }
+
+    /** A directory knows a later number of a start: this one's clock went back, and it takes a number past that. */
+    private void registered(ClientTx tx, SipMessage response) {
+        if (response == null) {
+            unknown.add(tx.to());
+        } else if (response.number("X-Start", -1) >= start) {
+            start = response.number("X-Start", -1) + 1;
+            beat = 0;
+            unknown.addAll(settings.directories());
+        }
     }
 
     // ---- faults
@@ -150,7 +184,13 @@
     }
 
     public void drain(long now, Out out) {
-        draining = true;
+        phase = "draining";
+        register(now, out);
+    }
+
+    /** Tells the directories that it ends. */
+    public void leave(long now, Out out) {
+        phase = "left";
         register(now, out);
     }
 
@@ -177,9 +217,8 @@
                 cut(now, relay, out);
             }
         }
-        if (groupWatcher != null) {
-            tellGroups(now, number + " " + circuits, out);
-        }
+        groupVersion++;
+        groupNews.changed(now, groups(now).tag(), number + " " + circuits + "\n", out);
     }
 
     private void cut(long now, Relay relay, Out out) {
@@ -191,11 +230,10 @@
         }
     }
 
-    private void tellGroups(long now, String body, Out out) {
-        SipMessage notify = agent.request("NOTIFY", SipUri.text("", groupWatcher)).add("Event", "trunk-groups")
-                .add("Subscription-State", "active");
-        agent.send(now, notify.body("text/plain", body.getBytes(java.nio.charset.StandardCharsets.UTF_8)),
-                groupWatcher, null, out);
+    private Notifier.State groups(long now) {
+        StringBuilder body = new StringBuilder();
+        groups.forEach((number, size) -> body.append(number).append(' ').append(size).append('\n'));
+        return new Notifier.State(settings.start() + "." + groupVersion, body.toString());
     }
 
     // ---- calls from the own router
@@ -536,15 +574,7 @@
         switch (request.method()) {
             case "OPTIONS" -> processor.work(now, settings.work().probe(), (at, o) -> agent.respond(at, tx,
                     agent.reply(tx, 200, "OK").add("X-Load", load(at)), o));
-            case "SUBSCRIBE" -> {
-                agent.respond(now, tx, agent.reply(tx, 200, "OK").add("Expires",
-                        request.header("Expires", "60")), out);
-                SipUri contact = SipUri.of(request.header("Contact", ""));
-                groupWatcher = contact == null ? settings.edge() : contact.hop();
-                StringBuilder body = new StringBuilder();
-                groups.forEach((number, size) -> body.append(number).append(' ').append(size).append('\n'));
-                tellGroups(now, body.toString(), out);
-            }
+            case "SUBSCRIBE" -> groupNews.subscribe(now, tx, out);
             default -> agent.respond(now, tx, agent.reply(tx, 405, "Method Not Allowed"), out);
         }
     }
@@ -561,6 +591,10 @@
 
     @Override
     public void replied(long now, ClientTx tx, SipMessage response, Out out) {
-        // A NOTIFY that was lost is made good by the next subscription.
+        if (tx.owner() == REGISTERED) {
+            registered(tx, response);
+        } else {
+            groupNews.replied(tx, response);
+        }
     }
 }
--- a/src/main/java/coralcove/exchange/ExchangeFile.java
+++ b/src/main/java/coralcove/exchange/ExchangeFile.java
@@ -2,6 +2,7 @@
 
 import coralcove.config.BadConfig;
 import coralcove.config.Hops;
+import coralcove.config.Starts;
 import coralcove.config.ServiceTable;
 import coralcove.config.Toml;
 import java.util.ArrayList;
@@ -52,11 +53,11 @@
                 habits.number("honour", 0, 1, 0.7), habits.flag("marks_redials", true));
         Toml.Table rules = toml.table("rules");
         ExchangeSettings settings = new ExchangeSettings(number, exchange.whole("id", 0, Integer.MAX_VALUE),
-                Hops.read(exchange, "listen"), Hops.read(exchange, "edge"), Hops.read(exchange, "directory"), costs,
+                Hops.read(exchange, "listen"), Hops.read(exchange, "edge"), Hops.readAll(exchange, "directory"), costs,
                 services, callers, new ExchangeSettings.Rules(rules.number("fall_multiple", 1, 100, 3),
                 rules.millis("fall_ms", 1, 60_000, 1500), rules.number("cold_from", 0.01, 1, 0.32),
                 rules.seconds("warm_s", 0.01, 600, 12)), 0, groups, habits.whole("hot_lines", 1, 1000, 8), seed,
-                Long.toString(System.nanoTime() & 0xffffffffL, 36));
+                Starts.tag());
         toml.nothingElse();
         List<Arrival> arrivals = pulls.isEmpty() ? List.of()
                 : draw(new SplittableRandom(seed), rate, length, shares, holds, pulls);
--- a/src/main/java/coralcove/exchange/ExchangeSettings.java
+++ b/src/main/java/coralcove/exchange/ExchangeSettings.java
@@ -8,13 +8,13 @@
  * One stand-in exchange. {@code since} is the moment it started cold, 0 for warm long ago; {@code groups} are its
  * groups' circuits by the number at the other end. All times in µs.
  */
-public record ExchangeSettings(int number, long id, Hop self, Hop edge, Hop directory, Work work, List<Service> services,
+public record ExchangeSettings(int number, long id, Hop self, Hop edge, List<Hop> directories, Work work, List<Service> services,
         Callers callers, Rules rules, long since, Map<Integer, Integer> groups, int hotLines, long seed,
         String start) {
 
     /** The same exchange, started cold at {@code now}. */
     public ExchangeSettings startedAt(long now) {
-        return new ExchangeSettings(number, id, self, edge, directory, work, services, callers, rules, now, groups,
+        return new ExchangeSettings(number, id, self, edge, directories, work, services, callers, rules, now, groups,
                 hotLines, seed, start);
     }
 
--- a/src/main/java/coralcove/judge/Judge.java
+++ b/src/main/java/coralcove/judge/Judge.java
@@ -72,14 +72,52 @@
         }
     }
 
-    /** What one router has been told of one exchange. */
+    /** What one router has been told of one machine, by all its directories together. */
     private static final class Told {
         int number;
-        long version = -1;
+        String address;
+        long start = -1;
+        long startAt;
+        long beat;
+        long quiet;
+        boolean off;
         boolean ready;
         long notReadyAt;
-        long since;
-        long sinceAt;
+
+        /** {@code missed}: a list lacks it, or a line calls it silent, as of this sign of life. */
+        void said(long now, long ofStart, long ofBeat, boolean missed, boolean drainsOrLeft) {
+            if (ofStart < start) {
+                return;
+            }
+            if (ofStart > start) {
+                start = ofStart;
+                startAt = now;
+                beat = -1;
+                quiet = -1;
+                off = false;
+            }
+            beat = Math.max(beat, ofBeat);
+            quiet = missed ? Math.max(quiet, ofBeat) : quiet;
+            off |= drainsOrLeft;
+            boolean runs = !off && quiet < beat;
+            if (!runs && (ready || notReadyAt == 0)) {
+                notReadyAt = now;
+            }
+            ready = runs;
+        }
+    }
+
+    /** A subscription that a router has asked for: only a NOTIFY within it tells the router anything. */
+    private static final class Asked {
+        final Hop peer;
+        String tag = "";
+        long sequence = -1;
+        /** What its lists have said of whom: start and sign of life. */
+        final Map<Long, long[]> named = new HashMap<>();
+
+        Asked(Hop peer) {
+            this.peer = peer;
+        }
     }
 
     private record Arrived(long at, boolean told) {}
@@ -90,6 +128,7 @@
     private final Map<String, Sent> sentByCall = new HashMap<>();
     private final Map<String, Set<Sent>> open = new HashMap<>();
     private final Map<String, Map<Long, Told>> lists = new HashMap<>();
+    private final Map<String, Asked> asked = new HashMap<>();
     private final Map<String, Boolean> setUps = new HashMap<>();
     private final Map<Integer, ArrayDeque<Arrived>> cold = new HashMap<>();
     private final Map<Integer, Long> starts = new HashMap<>();
@@ -136,7 +175,8 @@
     public void killed(String node) {
         bySession.values().removeIf(seen -> seen.node.equals(node));
         byCall.values().removeIf(seen -> seen.node.equals(node));
-        lists.remove(node);
+        // What it was told holds: a router keeps that over its restart.
+        asked.keySet().removeIf(key -> key.startsWith(node + "|"));
     }
 
     @Override
@@ -178,9 +218,15 @@
                 }
             }
             case "CANCEL" -> cancelled(now, node, out, message);
+            case "SUBSCRIBE" -> {
+                if (out && message.isRequest() && message.toTag().isEmpty()
+                        && message.header("Event", "").equals("exchanges")) {
+                    asked.putIfAbsent(node + "|" + message.callId() + "|" + message.fromTag(), new Asked(peer));
+                }
+            }
             case "NOTIFY" -> {
                 if (!out && message.isRequest()) {
-                    notified(now, node, message);
+                    notified(now, node, peer, message);
                 }
             }
             default -> { }
@@ -301,7 +347,7 @@
         boolean ready = false;
         boolean listed = false;
         for (Told told : lists.getOrDefault(node, Map.of()).values()) {
-            if (told.number == number) {
+            if (told.number == number && told.address.equals(route.hop().toString())) {
                 listed = true;
                 ready |= told.ready;
                 last = Math.max(last, told.notReadyAt);
@@ -338,47 +384,38 @@
         }
     }
 
-    private void notified(long now, String node, SipMessage notify) {
-        if (!notify.header("Event", "").equals("exchanges")) {
+    private void notified(long now, String node, Hop peer, SipMessage notify) {
+        Asked in = asked.get(node + "|" + notify.callId() + "|" + notify.toTag());
+        if (in == null || !in.peer.host().equals(peer.host()) || !peer.tcp() && peer.port() != in.peer.port()
+                || !in.tag.isEmpty() && !in.tag.equals(notify.fromTag())) {
+            // Anyone can send one; this is no word of a directory.
             return;
         }
-        Map<Long, Told> list = lists.computeIfAbsent(node, n -> new HashMap<>());
+        in.tag = notify.fromTag();
+        boolean inOrder = notify.sequence() > in.sequence;
+        in.sequence = Math.max(in.sequence, notify.sequence());
         List<String> lines = notify.text().lines().toList();
-        String[] first = lines.isEmpty() ? new String[0] : lines.get(0).split(" ");
-        if (first.length < 3 || !first[1].matches("\\d{1,18}")) {
-            return;
-        }
-        long version = Long.parseLong(first[1]);
+        Map<Long, Told> list = lists.computeIfAbsent(node, n -> new HashMap<>());
+        Set<Long> named = new LinkedHashSet<>();
         for (String line : lines) {
             String[] parts = line.split(" ");
-            if (parts.length != 5 || !parts[0].matches("\\d+")) {
+            if (parts.length != 7 || !parts[0].matches("\\d+")) {
                 continue;
             }
-            Told told = list.computeIfAbsent(Long.parseLong(parts[0]), id -> new Told());
-            if (told.version >= version) {
-                // Older than what the router knew of this exchange already: no news of it.
-                continue;
-            }
-            told.version = version;
+            long id = Long.parseLong(parts[0]);
+            long start = Long.parseLong(parts[3]);
+            long beat = Long.parseLong(parts[4]);
+            named.add(id);
+            in.named.put(id, new long[] {start, beat});
+            Told told = list.computeIfAbsent(id, n -> new Told());
             told.number = Integer.parseInt(parts[1]);
-            boolean ready = parts[2].equals("ready");
-            if (told.ready && !ready || told.notReadyAt == 0 && !ready) {
-                told.notReadyAt = now;
-            }
-            told.ready = ready;
-            long since = Long.parseLong(parts[3]);
-            if (since != told.since) {
-                told.since = since;
-                told.sinceAt = now;
-            }
+            told.address = parts[6];
+            told.said(now, start, beat, parts[2].equals("silent"), parts[2].equals("draining") || parts[2].equals("left"));
         }
-        if (first[2].equals("full")) {
-            list.forEach((id, told) -> {
-                boolean unnamed = told.version < version;
-                told.version = Math.max(told.version, version);
-                if (told.ready && unnamed) {
-                    told.ready = false;
-                    told.notReadyAt = now;
+        if (inOrder && !lines.isEmpty() && lines.get(0).endsWith(" whole")) {
+            in.named.forEach((id, last) -> {
+                if (!named.contains(id)) {
+                    list.get(id).said(now, last[0], last[1], true, false);
                 }
             });
         }
@@ -393,7 +430,7 @@
         }
         ArrayDeque<Arrived> window = cold.computeIfAbsent(number, n -> new ArrayDeque<>());
         boolean told = lists.getOrDefault("edge-" + origin, Map.of()).values().stream()
-                .anyMatch(t -> t.number == number && t.since == since && t.sinceAt <= now);
+                .anyMatch(t -> t.number == number && t.start == since && t.startAt <= now);
         window.add(new Arrived(now, told));
         while (window.peek().at <= now - rules.fallWindow()) {
             window.poll();
--- a/src/main/java/coralcove/network/LiveNetwork.java
+++ b/src/main/java/coralcove/network/LiveNetwork.java
@@ -143,6 +143,10 @@
             if (tapped && tap != null) {
                 tap.message(now(), name, true, to, bytes);
             }
+            String target = names.get(to.port());
+            if (target != null && cuts.between(name, target)) {
+                return;
+            }
             if (!to.tcp()) {
                 double drawn = chance.nextDouble();
                 if (drawn >= weather.loss()) {
@@ -177,6 +181,8 @@
     private final Weather weather;
     private final long seed;
     private final Map<String, Node> nodes = new ConcurrentHashMap<>();
+    private final Map<Integer, String> names = new ConcurrentHashMap<>();
+    private final Cuts cuts = new Cuts();
     private final PriorityQueue<Later> later = new PriorityQueue<>((a, b) -> a.at != b.at
             ? Long.compare(a.at, b.at) : Long.compare(a.order, b.order));
     private long order;
@@ -208,6 +214,7 @@
         try {
             Node node = new Node(name, self, core, tapped);
             nodes.put(name, node);
+            names.put(self.port(), name);
             node.thread.start();
         } catch (IOException e) {
             throw new UncheckedIOException(e);
@@ -230,6 +237,11 @@
         }
     }
 
+    @Override
+    public void cut(String one, String other, boolean off) {
+        cuts.set(one, other, off);
+    }
+
     /** Inputs that were dropped at full inboxes. */
     public long dropped() {
         return nodes.values().stream().mapToLong(n -> n.inbox.dropped()).sum();
--- a/src/main/java/coralcove/network/Network.java
+++ b/src/main/java/coralcove/network/Network.java
@@ -33,6 +33,9 @@
 
     void on(String name, Act act);
 
+    /** From now on ({@code off}), or no longer, nothing passes between two nodes, either way. */
+    void cut(String one, String other, boolean off);
+
     /** Runs {@code act} at a moment, outside any core. */
     void at(long time, Runnable act);
 
--- a/src/main/java/coralcove/network/VirtualNetwork.java
+++ b/src/main/java/coralcove/network/VirtualNetwork.java
@@ -83,6 +83,7 @@
     private final Map<String, Node> byName = new LinkedHashMap<>();
     private final Map<Integer, Node> byPort = new HashMap<>();
     private final Map<Long, Long> lastInStream = new HashMap<>();
+    private final Cuts cuts = new Cuts();
     private long now;
     private long carried;
 
@@ -130,6 +131,11 @@
         }
     }
 
+    @Override
+    public void cut(String one, String other, boolean off) {
+        cuts.set(one, other, off);
+    }
+
     @Override
     public void at(long time, Runnable act) {
         events.add(Math.max(now, time), act);
@@ -186,6 +192,9 @@
     private void carry(Node from, Hop to, Parcel parcel) {
         carried++;
         Node target = byPort.get(to.port());
+        if (target != null && cuts.between(from.name, target.name)) {
+            return;
+        }
         long delay = delay(from, target);
         if (to.tcp()) {
             stream(from, to, parcel, delay);
--- a/src/main/java/coralcove/rehearsal/Day.java
+++ b/src/main/java/coralcove/rehearsal/Day.java
@@ -16,7 +16,10 @@
 public record Day(String name, long length, int[] zones, int[][] groups, List<List<Arrival>> arrivals,
         List<Service> services, ExchangeSettings.Work work, double[] speeds, ExchangeSettings.Callers callers, int hotLines,
         Late late, Rules rules, Router router, Weather weather, String transport, List<Trouble> troubles,
-        List<String> unmapped, Numbers numbers, Planners planners) {
+        List<String> unmapped, Numbers numbers, Planners planners, int directories) {
+
+    /** Directories of a day at most. */
+    public static final int MOST_DIRECTORIES = 4;
 
     public record Service(String name, long target, long limit, double value, double lateValue, int width,
             long hold) {}
--- a/src/main/java/coralcove/rehearsal/DayFile.java
+++ b/src/main/java/coralcove/rehearsal/DayFile.java
@@ -87,6 +87,7 @@
         Toml.Table late = toml.table("directory");
         Day.Late lateness = new Day.Late(late.millis("notice_ms", 0, 60_000, 1000),
                 late.millis("silence_ms", 1500, 120_000, 8000), late.millis("add_ms", 0, 60_000, 800));
+        int directories = late.whole("count", 1, Day.MOST_DIRECTORIES, 1);
         Rules rules = rules(toml.table("rules"), work);
         Toml.Table net = toml.table("net");
         Weather weather = new Weather(net.millis("near_ms", 0.001, 1000, 0.1), net.millis("same_ms", 0.001, 1000, 1),
@@ -111,7 +112,7 @@
                     a.number(), a.hold(), dials.dial(a.farEnd(), chance))).toList()).toList();
         }
         return new Day(name, length, zones, groups, arrivals, services, work, speeds, habits, hotLines,
-                lateness, rules, router, weather, transport, troubles, List.of(), numbers, planners);
+                lateness, rules, router, weather, transport, troubles, List.of(), numbers, planners, directories);
     }
 
     private static Day.Numbers numbers(Toml.Table table) throws BadConfig {
--- a/src/main/java/coralcove/rehearsal/Rehearsal.java
+++ b/src/main/java/coralcove/rehearsal/Rehearsal.java
@@ -22,12 +22,14 @@
 import coralcove.numbers.NumberTable;
 import coralcove.sip.Hop;
 import coralcove.sip.Out;
+import coralcove.sources.Roster;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.SplittableRandom;
+import java.util.concurrent.ConcurrentHashMap;
 import org.HdrHistogram.Histogram;
 
 /** Plays a day on a network, live or virtual: routers, stand-ins and troubles at their times. */
@@ -38,6 +40,8 @@
     private static final long TAIL = 12_000_000;
     /** µs that a dying exchange has for the BYEs of the calls it cuts. */
     private static final long LAST_ACT = 100_000;
+    /** µs that a process takes to start again. */
+    private static final long RESTART = 300_000;
     /** Steps in which an ageing exchange grows slower. */
     private static final int AGE_STEPS = 20;
     /** µs into the day from which the ages of plans are looked at, and how often. */
@@ -46,6 +50,9 @@
     /** µs around a replacement in which a session may have either table: an INVITE read before is looked at after. */
     private static final long TABLE_DOUBT = 1_000_000;
 
+    /** Ports for strangers: one that forges. */
+    private static final int STRANGERS = 1;
+
     private final Day day;
     private final long seed;
     private final String policy;
@@ -57,6 +64,7 @@
     private final Map<String, EdgeCore> edges = new LinkedHashMap<>();
     private final List<NumberDesk> desks = new ArrayList<>();
     private final Map<Integer, PlannerPipe> planners = new LinkedHashMap<>();
+    private final Map<Integer, List<Roster.Said>> disks = new ConcurrentHashMap<>();
     private final DialPlan plan;
     private final Portability portability;
     private final Histogram planAges = new Histogram(PlanKeeper.STALE_FROM, 3);
@@ -80,7 +88,7 @@
     }
 
     public static int ports(Day day) {
-        return 3 * day.exchanges() + 2;
+        return 3 * day.exchanges() + 2 + Day.MOST_DIRECTORIES + STRANGERS;
     }
 
     private boolean tcp(int number) {
@@ -95,16 +103,30 @@
         return new Hop(tcp(number), "127.0.0.1", firstPort + 2 * number + 1);
     }
 
-    private Hop directory() {
-        return new Hop(false, "127.0.0.1", firstPort + 2 * day.exchanges());
+    private Hop directory(int which) {
+        return new Hop(false, "127.0.0.1", firstPort + 3 * day.exchanges() + 2 + which);
+    }
+
+    private List<Hop> directories() {
+        List<Hop> all = new ArrayList<>();
+        for (int i = 0; i < day.directories(); i++) {
+            all.add(directory(i));
+        }
+        return all;
+    }
+
+    private void addDirectory(int which) {
+        Day.Late late = day.late();
+        network.add("directory-" + which, directory(which), new DirectoryCore(directory(which),
+                new DirectoryCore.Late(late.notice(), late.silence(), late.add()), start()), false);
     }
 
     /** Plays the day through its tail; returns what its callers saw, all exchanges together. */
     public Stats play() {
         zero = zero(network.now());
-        Day.Late late = day.late();
-        network.add("directory", directory(), new DirectoryCore(directory(),
-                new DirectoryCore.Late(late.notice(), late.silence(), late.add()), start()), false);
+        for (int i = 0; i < day.directories(); i++) {
+            addDirectory(i);
+        }
         for (int i = 0; i < day.exchanges(); i++) {
             stats[i] = new Stats();
             ids[i] = 100 + i;
@@ -192,7 +214,7 @@
     }
 
     private void addEdge(int number) {
-        EdgeSettings settings = new EdgeSettings(number, edge(number), exchange(number), directory(),
+        EdgeSettings settings = new EdgeSettings(number, edge(number), exchange(number), directories(),
                 day.settings(number), day.router().answerMargin(), day.router().mostOpen(), seed, start());
         String name = "edge-" + number;
         PlannerPipe pipe = day.planners() == null || !policy.equals("choice") ? null : network instanceof VirtualNetwork
@@ -208,6 +230,8 @@
             desks.add(desk);
             core.numbers(desk);
         }
+        // What its disk would hold over a kill.
+        core.resume(network.now(), disks.getOrDefault(number, List.of()), said -> disks.put(number, said));
         edges.put(name, core);
         network.add(name, edge(number), core, true);
         if (pipe != null) {
@@ -238,7 +262,7 @@
                 (long) (work.refuse() / speed), (long) (work.repeat() / speed), work.probe(), work.queueLimit(),
                 work.tellsWait(), work.resend());
         ExchangeSettings settings = new ExchangeSettings(number, ids[number], exchange(number), edge(number),
-                directory(), own, services, day.callers(), new ExchangeSettings.Rules(rules.fallMultiple(),
+                directories(), own, services, day.callers(), new ExchangeSettings.Rules(rules.fallMultiple(),
                 rules.fallWindow(), rules.coldFrom(), rules.warmUp()), since, groups, day.hotLines(),
                 seed * 7919 + starts, start());
         List<Arrival> arrivals = day.arrivals().get(number).stream().map(a -> a.after(zero)).toList();
@@ -268,6 +292,10 @@
             network.at(zero + trouble.end(), () -> portability.misbehave(PortabilityServer.Fault.NONE, 0));
             return;
         }
+        if (trouble.kind().startsWith("directory")) {
+            directory(trouble);
+            return;
+        }
         int place = 0;
         for (int number = 0; number < day.exchanges(); number++) {
             if (trouble.strikes(number)) {
@@ -276,6 +304,44 @@
         }
     }
 
+    /** Troubles of directories strike the one that {@code extra} counts to from 0; cuts, for the routers in {@code on}. */
+    private void directory(Trouble trouble) {
+        int which = (int) Math.min(day.directories() - 1, Math.round(trouble.extra()));
+        String name = "directory-" + which;
+        switch (trouble.kind()) {
+            case "directory-death" -> {
+                network.at(zero + trouble.at(), () -> network.kill(name));
+                network.at(zero + trouble.end(), () -> addDirectory(which));
+            }
+            case "directory-restart" -> {
+                network.at(zero + trouble.at(), () -> network.kill(name));
+                network.at(zero + trouble.at() + RESTART, () -> addDirectory(which));
+            }
+            case "directory-cut" -> {
+                for (int number = 0; number < day.exchanges(); number++) {
+                    if (trouble.strikes(number)) {
+                        String edge = "edge-" + number;
+                        network.at(zero + trouble.at(), () -> network.cut(edge, name, true));
+                        network.at(zero + trouble.end(), () -> network.cut(edge, name, false));
+                    }
+                }
+            }
+            case "directory-forged" -> {
+                Hop self = new Hop(false, "127.0.0.1", firstPort + 3 * day.exchanges() + 2 + Day.MOST_DIRECTORIES);
+                List<Hop> at = new ArrayList<>();
+                for (int number = 0; number < day.exchanges(); number++) {
+                    if (trouble.strikes(number)) {
+                        at.add(edge(number).over(false));
+                    }
+                }
+                network.at(zero + trouble.at(), () -> network.add("stranger", self, new Stranger(self, start(), at,
+                        trouble.size(), network.now() + trouble.length()), false));
+                network.at(zero + trouble.end(), () -> network.kill("stranger"));
+            }
+            default -> throw new IllegalStateException(trouble.kind());
+        }
+    }
+
     private void strike(Trouble trouble, int number, int place) {
         long at = trouble.at();
         long end = trouble.end();
@@ -285,6 +351,7 @@
                 long from = at + place * trouble.length() / Math.max(1, trouble.on().size());
                 act(from, number, (now, core, out) -> core.drain(now, out));
                 long stops = from + Math.round(trouble.extra() * 1e6);
+                act(stops, number, (now, core, out) -> core.leave(now, out));
                 network.at(zero + stops, () -> ids[number] += 1000);
                 dies(number, stops, 0);
             }
--- a/src/main/java/coralcove/rehearsal/Trouble.java
+++ b/src/main/java/coralcove/rehearsal/Trouble.java
@@ -9,7 +9,8 @@
 public record Trouble(String kind, long at, long length, List<Integer> on, double size, double extra) {
     public static final List<String> KINDS = List.of("surge", "swamped", "death", "drain", "slow", "other-work",
             "stall", "silence", "lost-answers", "lost-circuits", "ageing", "router-death",
-            "portability-dead", "portability-slow", "planner-halt", "planner-slow", "mass-call");
+            "portability-dead", "portability-slow", "planner-halt", "planner-slow", "mass-call",
+            "directory-death", "directory-restart", "directory-cut", "directory-forged");
 
     boolean strikes(int exchange) {
         return on.isEmpty() || on.contains(exchange);
--- /dev/null
+++ b/src/main/java/coralcove/sip/event/Notifier.java
@@ -0,0 +1,134 @@
+package coralcove.sip.event;
+
+import coralcove.sip.Hop;
+import coralcove.sip.Out;
+import coralcove.sip.SipMessage;
+import coralcove.sip.SipUri;
+import coralcove.sip.Timers;
+import coralcove.sip.dialog.Agent;
+import coralcove.sip.transaction.ClientTx;
+import coralcove.sip.transaction.ServerTx;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.Map;
+
+/**
+ * The other side of {@link Subscriber}: who has subscribed at this node, until when, and the NOTIFYs in their dialogs
+ * (RFC 6665 4.2). What a subscriber says it has is not sent again (RFC 5839: 204).
+ */
+public final class Notifier {
+    /** What holds now: its text, and a tag that differs whenever the text says something else. */
+    public record State(String tag, String text) {}
+
+    /** Tells what holds at a moment. */
+    public interface Source {
+        State state(long now);
+    }
+
+    private static final class Watcher {
+        SipMessage first;
+        Hop hop;
+        String tag;
+        long sequence;
+        long until;
+        Timers.Timer end;
+    }
+
+    /** Subscribers at most; a SUBSCRIBE past that is answered 503. */
+    private static final int MOST = 10_000;
+    /** Seconds a subscription lasts at most, and where none are named. */
+    private static final long LIFE_MOST = 3600;
+
+    private final Agent agent;
+    private final Timers timers;
+    private final String event;
+    private final String seed;
+    private final Source source;
+    private final Map<String, Watcher> watchers = new LinkedHashMap<>();
+    private long tags;
+
+    /** {@code seed} makes the tags of this start unlike those of any other. */
+    public Notifier(Agent agent, Timers timers, String event, String seed, Source source) {
+        this.agent = agent;
+        this.timers = timers;
+        this.event = event;
+        this.seed = seed;
+        this.source = source;
+    }
+
+    public int watchers() {
+        return watchers.size();
+    }
+
+    /** A SUBSCRIBE, answered here. */
+    public void subscribe(long now, ServerTx tx, Out out) {
+        SipMessage request = tx.request();
+        SipUri contact = SipUri.of(request.header("Contact", ""));
+        long seconds = Math.min(LIFE_MOST, request.number("Expires", LIFE_MOST));
+        Watcher known = watchers.get(request.callId() + "|" + request.toTag());
+        if (!request.header("Event", "").equals(event)) {
+            agent.respond(now, tx, agent.reply(tx, 489, "Bad Event").add("Allow-Events", event), out);
+        } else if (!request.toTag().isEmpty() && known == null) {
+            // 4.2.1.1: the dialog is of an earlier start of this program, or has ended.
+            agent.respond(now, tx, agent.reply(tx, 481, "No such subscription"), out);
+        } else if (contact == null || seconds < 0) {
+            agent.respond(now, tx, agent.reply(tx, 400, "Bad Request"), out);
+        } else if (known == null && watchers.size() >= MOST) {
+            agent.respond(now, tx, agent.reply(tx, 503, "Full").add("Retry-After", "5"), out);
+        } else {
+            boolean first = known == null;
+            Watcher it = first ? new Watcher() : known;
+            State state = source.state(now);
+            if (first) {
+                it.first = request.copy();
+                it.tag = seed + "w" + tags++;
+                watchers.put(request.callId() + "|" + it.tag, it);
+            }
+            it.hop = contact.hop();
+            it.until = now + seconds * 1_000_000;
+            timers.cancel(it.end);
+            it.end = timers.set(it.until, (at, o) -> watchers.values().remove(it));
+            boolean same = state.tag().equals(request.header("Suppress-If-Match"));
+            SipMessage reply = SipMessage.reply(request, same ? 204 : 200, same ? "No Notification" : "OK", it.tag)
+                    .add("Expires", Long.toString(seconds)).add("Contact", "<" + SipUri.text("", agent.self()) + ">");
+            agent.respond(now, tx, reply, out);
+            if (!same) {
+                notify(now, it, state.tag(), state.text(), out);
+            }
+            if (seconds == 0) {
+                watchers.values().remove(it);
+            }
+        }
+    }
+
+    /** Tells all subscribers of a change; {@code tag} is what holds with it. */
+    public void changed(long now, String tag, String text, Out out) {
+        new ArrayList<>(watchers.values()).forEach(it -> notify(now, it, tag, text, out));
+    }
+
+    private void notify(long now, Watcher it, String tag, String text, Out out) {
+        it.sequence++;
+        long left = Math.max(0, it.until - now + 999_999) / 1_000_000;
+        SipMessage notify = SipMessage.request("NOTIFY", SipUri.text("", it.hop)).add("Max-Forwards", "70")
+                .add("From", it.first.header("To") + ";tag=" + it.tag).add("To", it.first.header("From"))
+                .add("Call-ID", it.first.callId()).add("CSeq", it.sequence + " NOTIFY")
+                .add("Contact", "<" + SipUri.text("", agent.self()) + ">").add("Event", event)
+                .add("Subscription-State", left == 0 ? "terminated;reason=timeout" : "active;expires=" + left)
+                .add("SIP-ETag", tag);
+        agent.send(now, notify.body("text/plain", text.getBytes(StandardCharsets.UTF_8)), it.hop, it, out);
+    }
+
+    /** The answer to a NOTIFY; false if the request was another's. */
+    public boolean replied(ClientTx tx, SipMessage response) {
+        if (!(tx.owner() instanceof Watcher it)) {
+            return false;
+        }
+        if (response == null || response.status() == 481) {
+            // 4.2.2: nobody is there.
+            timers.cancel(it.end);
+            watchers.values().remove(it);
+        }
+        return true;
+    }
+}
--- /dev/null
+++ b/src/main/java/coralcove/sip/event/Subscriber.java
@@ -0,0 +1,208 @@
+package coralcove.sip.event;
+
+import coralcove.sip.Hop;
+import coralcove.sip.Out;
+import coralcove.sip.Params;
+import coralcove.sip.SipMessage;
+import coralcove.sip.SipUri;
+import coralcove.sip.Timers;
+import coralcove.sip.dialog.Agent;
+import coralcove.sip.transaction.ClientTx;
+import coralcove.sip.transaction.ServerTx;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.random.RandomGenerator;
+
+/**
+ * The subscriptions of one node (RFC 6665): each is a dialog, renewed before its end, and a NOTIFY counts only within
+ * it, from where it was asked for, in order of CSeq; any other is answered 481 and counted. What has not changed is
+ * not sent again (RFC 5839). When a subscription has ended its user decides when to ask anew.
+ */
+public final class Subscriber {
+    /** What a NOTIFY's body was: not to be read (answered 400), read but with a gap before it, or all that holds. */
+    public enum News { BAD, GAP, WHOLE }
+
+    /** What is told to the program above. */
+    public interface User {
+        News notified(long now, Subscription it, SipMessage notify, Out out);
+
+        /** It was renewed: what it said last holds as of now. */
+        void renewed(long now, Subscription it, Out out);
+
+        /** It is not in force any more; nothing more comes of it. */
+        void ended(long now, Subscription it, String why, Out out);
+    }
+
+    /** Share of its life after which a subscription is renewed, and what chance adds: many must not come together. */
+    private static final double RENEW_FROM = 0.35;
+    private static final double RENEW_SPREAD = 0.15;
+    /** Subscriptions of one node at most. */
+    private static final int MOST = 64;
+    /** Seconds: lives granted outside of this are taken as the nearest (an hour is RFC 6665's common one). */
+    private static final long LIFE_LEAST = 1;
+    private static final long LIFE_MOST = 3600;
+
+    private final Agent agent;
+    private final Timers timers;
+    private final RandomGenerator chance;
+    private final User user;
+    private final Map<String, Subscription> standing = new HashMap<>();
+
+    public Subscriber(Agent agent, Timers timers, RandomGenerator chance, User user) {
+        this.agent = agent;
+        this.timers = timers;
+        this.chance = chance;
+        this.user = user;
+    }
+
+    /** Asks {@code to} for news of {@code event}, for {@code seconds} at a time; null past the bound. */
+    public Subscription subscribe(long now, Hop to, String event, long seconds, Object owner, String ownNumber, Out out) {
+        if (standing.size() >= MOST) {
+            agent.count("too-many-subscriptions");
+            return null;
+        }
+        SipMessage request = agent.request("SUBSCRIBE", SipUri.text("", to)).add("Event", event)
+                .add("Expires", Long.toString(seconds)).add("X-Number", ownNumber);
+        Subscription it = new Subscription(to, event, owner, request.copy());
+        it.seconds = seconds;
+        it.asking = true;
+        standing.put(it.key(), it);
+        // 4.1.2.4, timer N: no NOTIFY within one life and the subscription never was.
+        it.expiresAt = now + seconds * 1_000_000;
+        it.end = timers.set(it.expiresAt, (at, o) -> end(at, it, "no NOTIFY", o));
+        agent.send(now, request, to, it, out);
+        return it;
+    }
+
+    /** Asks for all that holds now, unless the answer is under way; {@code whole}: also if nothing has changed. */
+    public void refresh(long now, Subscription it, boolean whole, Out out) {
+        if (!it.stands() || it.asking || it.remoteTag.isEmpty()) {
+            it.again |= whole;
+            return;
+        }
+        it.asking = true;
+        it.sequence++;
+        SipMessage request = SipMessage.request("SUBSCRIBE", SipUri.text("", it.to)).add("Max-Forwards", "70")
+                .add("From", it.first.header("From")).add("To", it.first.header("To") + ";tag=" + it.remoteTag)
+                .add("Call-ID", it.first.callId()).add("CSeq", it.sequence + " SUBSCRIBE")
+                .add("Contact", it.first.header("Contact")).add("Event", it.event)
+                .add("Expires", Long.toString(it.seconds)).add("X-Number", it.first.header("X-Number", ""));
+        if (!whole && !it.etag.isEmpty()) {
+            request.add("Suppress-If-Match", it.etag);
+        }
+        agent.send(now, request, it.to, it, out);
+    }
+
+    private void end(long now, Subscription it, String why, Out out) {
+        if (!it.stands()) {
+            return;
+        }
+        it.state = Subscription.State.ENDED;
+        timers.cancel(it.renew);
+        timers.cancel(it.end);
+        standing.remove(it.key());
+        agent.count("subscription-ended");
+        user.ended(now, it, why, out);
+    }
+
+    private void lives(long now, Subscription it, long seconds) {
+        long life = Math.max(LIFE_LEAST, Math.min(LIFE_MOST, seconds)) * 1_000_000;
+        it.state = Subscription.State.ACTIVE;
+        it.expiresAt = now + life;
+        timers.cancel(it.end);
+        timers.cancel(it.renew);
+        it.end = timers.set(it.expiresAt, (at, o) -> end(at, it, "not renewed", o));
+        long wait = (long) (life * (RENEW_FROM + RENEW_SPREAD * chance.nextDouble()));
+        it.renew = timers.set(now + wait, (at, o) -> refresh(at, it, false, o));
+    }
+
+    /** The answer to one of this class's requests, or null where none came; false if the request was another's. */
+    public boolean replied(long now, ClientTx tx, SipMessage response, Out out) {
+        if (!(tx.owner() instanceof Subscription it)) {
+            return false;
+        }
+        if (response != null && response.status() < 200) {
+            return true;
+        }
+        it.asking = false;
+        if (!it.stands()) {
+            return true;
+        }
+        boolean again = it.again;
+        it.again = false;
+        boolean renewal = !it.remoteTag.isEmpty();
+        int status = response == null ? 408 : response.status();
+        if (status < 300) {
+            if (it.remoteTag.isEmpty()) {
+                it.remoteTag = response.toTag();
+            }
+            lives(now, it, response.number("Expires", it.seconds));
+            if (renewal && status == 204) {
+                user.renewed(now, it, out);
+            }
+            if (again) {
+                refresh(now, it, true, out);
+            }
+        } else if (status == 423 && response.number("Min-Expires", 0) > it.seconds && it.seconds < LIFE_MOST
+                && !renewal) {
+            // The notifier wants longer lives: asked once more, with its least.
+            it.seconds = Math.min(LIFE_MOST, response.number("Min-Expires", 0));
+            it.sequence++;
+            it.asking = true;
+            agent.send(now, it.first.copy().set("CSeq", it.sequence + " SUBSCRIBE")
+                    .set("Expires", Long.toString(it.seconds)), it.to, it, out);
+        } else if (!renewal || status == 481 || status == 489 || status == 403 || status == 404) {
+            end(now, it, response == null ? "no answer" : "answered " + status, out);
+        } else {
+            // 4.1.2.2: a renewal that failed otherwise leaves the subscription in force to its end; it is tried again.
+            it.renew = timers.set(now + Math.max(1, (it.expiresAt - now) / 2), (at, o) -> refresh(at, it, false, o));
+        }
+        return true;
+    }
+
+    /** A NOTIFY, answered here. */
+    public void notified(long now, ServerTx tx, Hop from, Out out) {
+        SipMessage notify = tx.request();
+        Subscription it = standing.get(notify.callId() + "|" + notify.toTag());
+        boolean dialog = it != null && (it.remoteTag.isEmpty() || it.remoteTag.equals(notify.fromTag()));
+        if (!dialog || !asked(it, from) || !Params.of(notify.header("Event", "")).value().equals(it.event)) {
+            // Anyone who reaches the port can send one: it is not looked into.
+            agent.count(dialog ? "notify-elsewhere" : "notify-no-dialog");
+            agent.respond(now, tx, agent.reply(tx, 481, "No such subscription"), out);
+            return;
+        }
+        if (notify.sequence() <= it.heardSequence) {
+            agent.count("notify-order");
+            agent.respond(now, tx, agent.reply(tx, 500, "CSeq out of order"), out);
+            return;
+        }
+        Params state = Params.of(notify.header("Subscription-State", ""));
+        if (state.value().isEmpty() || notify.fromTag().isEmpty()) {
+            agent.count("bad-notify");
+            agent.respond(now, tx, agent.reply(tx, 400, "Subscription-State is missing"), out);
+            return;
+        }
+        it.remoteTag = notify.fromTag();
+        it.heardSequence = notify.sequence();
+        boolean over = state.value().equalsIgnoreCase("terminated");
+        News news = notify.body().length == 0 ? News.GAP : user.notified(now, it, notify, out);
+        boolean taken = news != News.BAD;
+        if (!taken) {
+            agent.count("bad-notify");
+        }
+        agent.respond(now, tx, taken ? agent.reply(tx, 200, "OK") : agent.reply(tx, 400, "Bad Request"), out);
+        if (over) {
+            end(now, it, "terminated, " + state.get("reason", "no reason"), out);
+            return;
+        }
+        // After a gap the tag would suppress the very list that is wanted.
+        it.etag = news == News.WHOLE ? notify.header("SIP-ETag", "") : "";
+        lives(now, it, state.number("expires", it.seconds));
+    }
+
+    /** Only the host that was asked, and over UDP only its port: a stream comes from any port of it. */
+    private static boolean asked(Subscription it, Hop from) {
+        boolean literal = it.to.host().matches("[0-9.]+|\\[.*]|.*:.*");
+        return (from.host().equals(it.to.host()) || !literal) && (from.tcp() || from.port() == it.to.port());
+    }
+}
--- a/src/test/java/coralcove/bench/EdgeFootprint.java
+++ b/src/test/java/coralcove/bench/EdgeFootprint.java
@@ -30,13 +30,23 @@
     private EdgeFootprint() {
         Settings module = new Settings(2, 0, false, List.of(new Settings.Service(1_500_000, 1, 0.1, 1, 10_000_000, true,
                 List.of())), 4, true, true, 2_000_000, false, true, 300_000, 3, 1_500_000, 0.3, 10_000_000);
-        core = new EdgeCore(new EdgeSettings(0, SELF, EXCHANGE, DIRECTORY, module, 20_000, 1_000_000, 1, "s"),
+        core = new EdgeCore(new EdgeSettings(0, SELF, EXCHANGE, List.of(DIRECTORY), module, 20_000, 1_000_000, 1, "s"),
                 new Direct(module, Direct.Kind.ALONE));
         core.start(now, this);
-        read(EXCHANGE, request("NOTIFY", "n", 1, "").add("Event", "trunk-groups").body("text/plain",
-                "1 10000000\n".getBytes(StandardCharsets.UTF_8)));
-        read(DIRECTORY, request("NOTIFY", "m", 1, "").add("Event", "exchanges").body("text/plain",
-                "version 1 full\n101 1 ready 0 udp:127.0.0.1:4\n".getBytes(StandardCharsets.UTF_8)));
+        for (byte[] bytes : List.copyOf(sent)) {
+            SipMessage asked;
+            try {
+                asked = SipParser.parse(bytes, 0, bytes.length);
+            } catch (BadMessage e) {
+                throw new IllegalStateException(e);
+            }
+            String event = asked.header("Event");
+            read(event.equals("exchanges") ? DIRECTORY : EXCHANGE, request("NOTIFY", asked.callId(), 1, "")
+                    .set("To", asked.header("From")).add("Event", event).add("Subscription-State", "active;expires=3600")
+                    .body("text/plain", (event.equals("exchanges")
+                            ? "epoch e version 1 whole\n101 1 ready 1 1 - udp:127.0.0.1:4\n" : "1 10000000\n")
+                            .getBytes(StandardCharsets.UTF_8)));
+        }
         sent.clear();
     }
 
--- a/src/test/java/coralcove/edge/EdgeCoreTest.java
+++ b/src/test/java/coralcove/edge/EdgeCoreTest.java
@@ -81,9 +81,11 @@
 
     @Test
     void asksForTheWholeListAfterAGapAndReadsNoBadOne() {
-        desk.list("version 8 changes after 7\n101 1 draining 0 udp:far:4\n").note("7 was lost")
-                .list("version 8 full\n101 1 draining 0 udp:far:4\n").list("version 9 changes after 8\nnonsense\n")
-                .list("version 7 full\n").reads("edge-lists");
+        desk.list("epoch e version 8 changes after 7\n101 1 draining 1 2 - udp:far:4\n").note("7 was lost")
+                .answered("exchanges", 200)
+                .list("epoch e version 8 whole\n101 1 draining 1 3 - udp:far:4\n")
+                .list("epoch e version 9 changes after 8\nnonsense\n").list("epoch e version 7 whole\n")
+                .reads("edge-lists");
     }
 
     @Test
--- a/src/test/java/coralcove/edge/EdgeDesk.java
+++ b/src/test/java/coralcove/edge/EdgeDesk.java
@@ -36,6 +36,7 @@
     private final ArrayDeque<Answer> answers = new ArrayDeque<>();
     private final StringBuilder trace = new StringBuilder();
     private final Map<String, SipMessage> invites = new HashMap<>();
+    private final Map<String, SipMessage> subscribes = new HashMap<>();
     private boolean subscribe = true;
     private SipMessage lastInvite;
     private Hop lastInviteTo = EXCHANGE;
@@ -47,11 +48,10 @@
     EdgeDesk() {
         Settings module = new Settings(3, 0, false, List.of(new Settings.Service(1_000_000, 1, 0.1, 1, 10_000_000,
                 true, List.of())), 4, true, true, 2_000_000, true, true, 300_000, 3, 1_500_000, 0.3, 10_000_000);
-        core = new EdgeCore(new EdgeSettings(0, SELF, EXCHANGE, DIRECTORY, module, 20_000, 4, 1, "s"), this);
+        core = new EdgeCore(new EdgeSettings(0, SELF, EXCHANGE, List.of(DIRECTORY), module, 20_000, 4, 1, "s"), this);
         core.start(now, this);
-        take(EXCHANGE, request("NOTIFY", "n0", 1).add("Event", "trunk-groups").body("text/plain",
-                "1 2\n2 2\n".getBytes(StandardCharsets.UTF_8)));
-        list("version 5 full\n101 1 ready 0 udp:far:4\n102 2 ready 0 udp:far2:5\n");
+        notify(EXCHANGE, "trunk-groups", "1 2\n2 2\n");
+        list("epoch e version 5 whole\n101 1 ready 1 1 - udp:far:4\n102 2 ready 1 1 - udp:far2:5\n");
         trace.setLength(0);
     }
 
@@ -62,9 +62,36 @@
     }
 
     EdgeDesk list(String body) {
+        return notify(DIRECTORY, "exchanges", body);
+    }
+
+    /** A NOTIFY in the dialog of the subscription that was asked for last. */
+    EdgeDesk notify(Hop from, String event, String body) {
+        return take(from, news(event, body));
+    }
+
+    SipMessage news(String event, String body) {
         ids++;
-        return take(DIRECTORY, request("NOTIFY", "n" + ids, 1).add("Event", "exchanges").body("text/plain",
-                body.getBytes(StandardCharsets.UTF_8)));
+        SipMessage asked = subscribes.get(event);
+        return request("NOTIFY", asked.callId(), ids).set("Via", "SIP/2.0/UDP x:2;branch=z9hG4bKn" + ids)
+                .set("From", "<sip:d>;tag=d").set("To", asked.header("From")).add("Event", event)
+                .add("Subscription-State", "active;expires=60")
+                .add("SIP-ETag", "t" + ids).body("text/plain", body.getBytes(StandardCharsets.UTF_8));
+    }
+
+    /** The last SUBSCRIBE out for this event is answered. */
+    EdgeDesk answered(String event, int status, String... extra) {
+        SipMessage reply = SipMessage.reply(subscribes.get(event), status, "x", "d").set("To",
+                subscribes.get(event).header("To") + (subscribes.get(event).toTag().isEmpty() ? ";tag=d" : ""));
+        for (int i = 0; i < extra.length; i += 2) {
+            reply.add(extra[i], extra[i + 1]);
+        }
+        return take(event.equals("exchanges") ? DIRECTORY : EXCHANGE, reply);
+    }
+
+    /** The last SUBSCRIBE out for this event. */
+    SipMessage subscribed(String event) {
+        return subscribes.get(event);
     }
 
     EdgeDesk pass(long millis) {
@@ -196,6 +223,11 @@
             lastOut = message;
             firstOk = firstOk == null && message.status() == 200 && message.cseqMethod().equals("INVITE") ? message : firstOk;
         }
+        if (message.isRequest() && message.method().equals("SUBSCRIBE")) {
+            subscribes.put(message.header("Event"), message.copy());
+            String match = message.header("Suppress-If-Match");
+            line.append(message.toTag().isEmpty() ? "" : match == null ? " for all" : " unless " + match);
+        }
         for (String name : List.of("Route", "X-Origin", "X-Time-Left", "Max-Forwards", "Reason", "Retry-After",
                 "X-Circuits", "Warning", "Event")) {
             String value = message.header(name);
--- a/src/test/java/coralcove/edge/EdgeNumbersTest.java
+++ b/src/test/java/coralcove/edge/EdgeNumbersTest.java
@@ -82,7 +82,7 @@
 
     @Test
     void aNewExchangeThatDrainsIsTheModulesAffair() {
-        desk.numbers(2, table(1), SETTINGS).module(Answer.refuse(500_000)).list("version 6 changes after 5\n102 2 draining 0 "
+        desk.numbers(2, table(1), SETTINGS).module(Answer.refuse(500_000)).list("epoch e version 6 changes after 5\n102 2 draining 1 2 - "
                 + "udp:far2:5\n").dial("a", "+8195", 3_000_000).ported("8195", Porting.Outcome.MOVED, "812")
                 .reads("edge-numbers-drains");
     }
--- a/src/test/java/coralcove/judge/JudgeTest.java
+++ b/src/test/java/coralcove/judge/JudgeTest.java
@@ -52,8 +52,14 @@
     }
 
     private JudgeTest list(long at, String body) {
-        return read(at, message("NOTIFY", "n" + at, "").add("Event", "exchanges").body("text/plain",
-                body.getBytes(StandardCharsets.UTF_8)));
+        return list(at, "d", body);
+    }
+
+    /** A NOTIFY in the dialog {@code call}, which is the router's own where that is "d". */
+    private JudgeTest list(long at, String call, String body) {
+        wrote(at, message("SUBSCRIBE", "d", "").add("Event", "exchanges"));
+        return read(at, message("NOTIFY", call, "").set("CSeq", at + 1 + " NOTIFY").set("From", "<sip:d>;tag=d")
+                .set("To", "<sip:x>;tag=f").add("Event", "exchanges").body("text/plain", body.getBytes(StandardCharsets.UTF_8)));
     }
 
     private void broken(String rule) {
@@ -162,8 +168,8 @@
         assertThat(judge.verdicts().get("release").broken()).isEqualTo(1);
     }
 
-    private static final String READY = "version 1 full\n102 2 ready 0 udp:far:4\n";
-    private static final String DRAINING = "version 2 changes after 1\n102 2 draining 0 udp:far:4\n";
+    private static final String READY = "epoch e version 1 whole\n102 2 ready 7 1 - udp:far:4\n";
+    private static final String DRAINING = "epoch e version 2 changes after 1\n102 2 draining 7 2 - udp:far:4\n";
 
     @Test
     void anInviteAMillisecondPastTheGrace() {
@@ -179,17 +185,49 @@
 
     @Test
     void anExchangeThatTheWholeListLeavesOutIsGone() {
-        list(0, READY).list(100, "version 3 full\n").session(2000).wrote(2001, invite("o", "s", 900))
+        list(0, READY).list(100, "epoch e version 3 whole\n").session(2000).wrote(2001, invite("o", "s", 900))
                 .reply(2100, "o", 503, 42).answer(2200, 480, "a").broken("drain");
     }
 
+    @Test
+    void aStrangersNotifyTellsNothing() {
+        list(0, READY).list(100, "other", DRAINING).session(2000).wrote(2001, invite("o", "s", 900))
+                .reply(2100, "o", 503, 42).answer(2200, 480, "a").broken("");
+    }
+
+    @Test
+    void aLearningListLeavesNobodyOut() {
+        list(0, READY).list(100, "epoch f version 1 learning\n").session(2000).wrote(2001, invite("o", "s", 900))
+                .reply(2100, "o", 503, 42).answer(2200, 480, "a").broken("");
+    }
+
+    @Test
+    void onlyANewStartTakesADrainBack() {
+        list(0, READY).list(100, DRAINING).list(200, "epoch f version 1 whole\n102 2 ready 7 9 - udp:far:4\n").session(2000)
+                .wrote(2001, invite("o", "s", 900)).reply(2100, "o", 503, 42).answer(2200, 480, "a").broken("drain");
+    }
+
+    @Test
+    void aNewStartDoes() {
+        list(0, READY).list(100, DRAINING).list(200, "epoch f version 1 whole\n102 2 ready 8 1 - udp:far:4\n").session(2000)
+                .wrote(2001, invite("o", "s", 900)).reply(2100, "o", 503, 42).answer(2200, 480, "a").broken("");
+    }
+
+    @Test
+    void aDrainToldHoldsOverTheRoutersDeath() {
+        list(0, READY).list(100, DRAINING);
+        judge.killed(NODE);
+        session(2000).wrote(2001, invite("o", "s", 900)).reply(2100, "o", 503, 42).answer(2200, 480, "a").broken("drain");
+    }
+
     /** The budget of each second is ten set-ups; all come from router 2, which knows of the start or does not. */
     private JudgeTest cold(int setUps, boolean told) {
         judge.started(1, 50 * MS);
         if (told) {
-            judge.message(60 * MS, "edge-2", false, EXCHANGE, message("NOTIFY", "n", "").add("Event", "exchanges")
-                    .body("text/plain", "version 1 full\n101 1 ready 50000 udp:r:1\n".getBytes(StandardCharsets.UTF_8))
-                    .bytes());
+            judge.message(59 * MS, "edge-2", true, EXCHANGE, message("SUBSCRIBE", "d", "").add("Event", "exchanges").bytes());
+            judge.message(60 * MS, "edge-2", false, EXCHANGE, message("NOTIFY", "d", "").set("From", "<sip:d>;tag=d")
+                    .set("To", "<sip:x>;tag=f").add("Event", "exchanges").body("text/plain",
+                    "epoch e version 1 whole\n101 1 ready 50000 1 0 udp:r:1\n".getBytes(StandardCharsets.UTF_8)).bytes());
         }
         for (int i = 0; i < setUps; i++) {
             SipMessage invite = invite("c" + i, "c" + i, 2000).set("X-Far-End", "1").add("X-Origin", "2");
