--- a/src/main/java/coralcove/cli/Commands.java
+++ b/src/main/java/coralcove/cli/Commands.java
@@ -46,6 +46,8 @@
 import coralcove.rehearsal.Result;
 import coralcove.sip.Core;
 import coralcove.sip.Hop;
+import coralcove.sources.store.RosterStore;
+import coralcove.store.EntryStore;
 import java.io.IOException;
 import java.io.UncheckedIOException;
 import java.nio.file.Files;
@@ -214,6 +216,13 @@
             EdgeCore core = new EdgeCore(file.settings(), file.planner() == null
                     ? Policies.router(file.policy(), module, file.settings().seed())
                     : new Choice(module, new SplittableRandom(file.settings().seed()), keeper));
+            if (file.roster() != null) {
+                var log = LoggerFactory.getLogger("edge-" + file.settings().number());
+                RosterStore store = new RosterStore(file.roster(), said -> log.warn("roster: {}", said));
+                int taken = core.resume(LiveNetwork.clock(), store.read(), store::keep);
+                store.start();
+                log.info("roster: {} lines of the last start resumed", taken);
+            }
             EdgeLink link = file.planner() == null ? null
                     : new EdgeLink(module, keeper, facts, System.currentTimeMillis(), keep(file, keeper));
             Commands.run(toml, "edge", "edge-" + file.settings().number(), file.settings().self(), core, file, link);
@@ -230,7 +239,7 @@
         }
         PlanShelf shelf = new PlanShelf();
         var log = LoggerFactory.getLogger("edge-" + file.settings().number());
-        GroupStore<Plan> store = GroupStore.plans(file.plans(), said -> log.warn("plans: {}", said));
+        EntryStore<Integer, Plan> store = GroupStore.plans(file.plans(), said -> log.warn("plans: {}", said));
         List<Plan> stored = store.read();
         int groups = PlanShelf.resume(LiveNetwork.clock(), file.settings().module(), keeper, stored);
         log.info("plans: {} of {} stored groups resumed, version {}", groups, stored.size(), keeper.version());
@@ -264,7 +273,7 @@
             PlannerCore core = new PlannerCore(file.settings().module(), start, new SplittableRandom(start),
                     file.ahead());
             String name = "planner-" + file.settings().number();
-            GroupStore<GroupFacts> store = file.store() == null ? null : GroupStore.facts(file.store(),
+            EntryStore<Integer, GroupFacts> store = file.store() == null ? null : GroupStore.facts(file.store(),
                     said -> LoggerFactory.getLogger(name).warn("store: {}", said));
             PlannerPort port = new PlannerPort(name, file.planner().host(), file.planner().port(), core, store);
             Runtime.getRuntime().addShutdownHook(new Thread(port::end));
--- a/src/main/java/coralcove/edge/EdgeFile.java
+++ b/src/main/java/coralcove/edge/EdgeFile.java
@@ -15,15 +15,17 @@
 /**
  * Reads a call router's settings file (docs/operating.md lists its keys); {@code numbers} and
  * {@code planner}, where a planner connects, are null without their tables; {@code store}, where it keeps what it
- * has learnt, and {@code plans}, where the edge keeps the plan in force, without their keys.
+ * has learnt, and {@code plans}, where the edge keeps the plan in force, and {@code roster}, where it keeps what directories said,
+ * without their keys.
  */
 public record EdgeFile(EdgeSettings settings, String policy, NumbersFile numbers, Hop planner, Path store,
-        Path plans, boolean ahead) {
+        Path plans, boolean ahead, Path roster) {
     public static EdgeFile of(Toml toml) throws BadConfig {
         Toml.Table edge = toml.table("edge");
         int number = edge.whole("number", 0, 65_535);
         long seed = edge.whole("seed", 1, Integer.MAX_VALUE, 1);
         String policy = edge.oneOf("policy", Policies.NAMES, "choice");
+        String roster = edge.text("roster", "");
         List<Settings.Service> services = new ArrayList<>();
         long shortest = Long.MAX_VALUE;
         for (ServiceTable each : ServiceTable.read(toml, false)) {
@@ -76,6 +78,6 @@
         }
         toml.nothingElse();
         return new EdgeFile(settings, policy, numbers, planner, store.isEmpty() ? null : Path.of(store),
-                plans.isEmpty() ? null : Path.of(plans), ahead);
+                plans.isEmpty() ? null : Path.of(plans), ahead, roster.isEmpty() ? null : Path.of(roster));
     }
 }
--- a/src/main/java/coralcove/planner/transport/PlannerPort.java
+++ b/src/main/java/coralcove/planner/transport/PlannerPort.java
@@ -3,7 +3,7 @@
 import coralcove.GroupFacts;
 import coralcove.mina.Mina;
 import coralcove.planner.PlannerCore;
-import coralcove.planner.store.GroupStore;
+import coralcove.store.EntryStore;
 import java.net.InetSocketAddress;
 import java.util.concurrent.Executors;
 import java.util.concurrent.RejectedExecutionException;
@@ -28,13 +28,13 @@
     private final Logger log;
     private final InetSocketAddress edge;
     private final PlannerCore core;
-    private final GroupStore<GroupFacts> store;
+    private final EntryStore<Integer, GroupFacts> store;
     private final NioSocketConnector connector = new NioSocketConnector(1);
     private final ScheduledExecutorService thread;
     private IoSession session;
 
     /** Keeps what it learns in {@code store}, which may be null and is closed at the end. */
-    public PlannerPort(String name, String host, int port, PlannerCore core, GroupStore<GroupFacts> store) {
+    public PlannerPort(String name, String host, int port, PlannerCore core, EntryStore<Integer, GroupFacts> store) {
         log = LoggerFactory.getLogger(name);
         edge = new InetSocketAddress(host, port);
         this.core = core;
--- a/src/test/java/coralcove/planner/store/GroupStoreTest.java
+++ b/src/test/java/coralcove/planner/store/GroupStoreTest.java
@@ -5,6 +5,7 @@
 import coralcove.GroupFacts;
 import coralcove.GroupPlan;
 import coralcove.Plan;
+import coralcove.store.EntryStore;
 import java.io.RandomAccessFile;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -28,7 +29,7 @@
     }
 
     private List<GroupFacts> reopened(Path path) {
-        try (GroupStore<GroupFacts> store = GroupStore.facts(path, said::add)) {
+        try (EntryStore<Integer, GroupFacts> store = GroupStore.facts(path, said::add)) {
             return store.read();
         }
     }
@@ -36,7 +37,7 @@
     @Test
     void whatWasWrittenIsReadAgainAndTheNewestCounts(@TempDir Path folder) {
         Path path = folder.resolve("facts");
-        try (GroupStore<GroupFacts> store = GroupStore.facts(path, said::add)) {
+        try (EntryStore<Integer, GroupFacts> store = GroupStore.facts(path, said::add)) {
             store.write(facts(0, 50, 1));
             store.write(facts(10, 20, 2));
         }
@@ -52,7 +53,7 @@
     void aKillLeavesTheLastWholeCommit(@TempDir Path folder) throws Exception {
         Path path = folder.resolve("facts");
         Path killed = folder.resolve("killed");
-        try (GroupStore<GroupFacts> store = GroupStore.facts(path, said::add)) {
+        try (EntryStore<Integer, GroupFacts> store = GroupStore.facts(path, said::add)) {
             store.write(facts(0, 50, 1));
             store.write(facts(0, 50, 2));
             Files.copy(path, killed);
@@ -66,7 +67,7 @@
     @Test
     void aTornTailAndAFlippedBitGiveOnlyWhatIsSound(@TempDir Path folder) throws Exception {
         Path path = folder.resolve("facts");
-        try (GroupStore<GroupFacts> store = GroupStore.facts(path, said::add)) {
+        try (EntryStore<Integer, GroupFacts> store = GroupStore.facts(path, said::add)) {
             for (int i = 1; i <= 30; i++) {
                 store.write(facts(0, 40, i));
             }
@@ -99,7 +100,7 @@
             aside += said.isEmpty() ? 0 : 1;
             assertThat(read.size() == 40 || !said.isEmpty() || read.isEmpty()).isTrue();
             // Whatever was found, the store that is there now works.
-            try (GroupStore<GroupFacts> store = GroupStore.facts(spoilt, said::add)) {
+            try (EntryStore<Integer, GroupFacts> store = GroupStore.facts(spoilt, said::add)) {
                 store.write(facts(0, 5, 99));
                 assertThat(store.read()).hasSizeGreaterThanOrEqualTo(5);
             }
@@ -111,7 +112,7 @@
     @Test
     void entriesOfAnotherVersionAreLeftAndCounted(@TempDir Path folder) {
         Path path = folder.resolve("facts");
-        try (GroupStore<GroupFacts> store = GroupStore.facts(path, said::add)) {
+        try (EntryStore<Integer, GroupFacts> store = GroupStore.facts(path, said::add)) {
             store.write(facts(0, 5, 1));
         }
         try (MVStore raw = new MVStore.Builder().fileName(path.toString()).open()) {
@@ -127,7 +128,7 @@
     void aStoreThatCannotBeMadeIsDoneWithout(@TempDir Path folder) throws Exception {
         Path file = folder.resolve("file");
         Files.writeString(file, "x");
-        try (GroupStore<GroupFacts> store = GroupStore.facts(file.resolve("facts"), said::add)) {
+        try (EntryStore<Integer, GroupFacts> store = GroupStore.facts(file.resolve("facts"), said::add)) {
             store.write(facts(0, 5, 1));
             assertThat(store.works()).isFalse();
             assertThat(store.read()).isEmpty();
@@ -145,7 +146,7 @@
             plans.add(new Plan(7, 100 + i, List.of(new GroupPlan(i, i, 0.1, new double[] {3, 0}, new double[] {1, 0},
                     new boolean[] {true, false}, new double[] {0, 0}))));
         }
-        try (GroupStore<Plan> store = GroupStore.plans(path, said::add)) {
+        try (EntryStore<Integer, Plan> store = GroupStore.plans(path, said::add)) {
             store.write(plans);
         }
         try (MVStore raw = new MVStore.Builder().fileName(path.toString()).open()) {
@@ -153,7 +154,7 @@
             entry[20] ^= 1;
             raw.<Integer, byte[]>openMap("plans").put(4, entry);
         }
-        try (GroupStore<Plan> store = GroupStore.plans(path, said::add)) {
+        try (EntryStore<Integer, Plan> store = GroupStore.plans(path, said::add)) {
             assertThat(store.read()).hasSize(19).noneMatch(p -> p.version() == 104);
             assertThat(store.left()).isEqualTo(1);
         }
