--- a/src/main/java/coralcove/cli/Commands.java
+++ b/src/main/java/coralcove/cli/Commands.java
@@ -155,6 +155,11 @@
         } catch (UncheckedIOException e) {
             throw toml.table(table).bad("listen", e.getCause().getMessage());
         }
+        if (file != null && file.dns() != null && core instanceof EdgeCore edge) {
+            DnsClient client = new DnsClient(file.dns().servers(), new SecureRandom());
+            network.on(name, (now, out) -> edge.locate(now, file.dns(), client,
+                    result -> network.on(name, (at, o) -> edge.found(at, result, o))));
+        }
         if (link != null && core instanceof EdgeCore edge) {
             try {
                 EdgePort port = new EdgePort(name, file.planner().host(), file.planner().port(), link,
--- a/src/main/java/coralcove/dns/DnsMessage.java
+++ b/src/main/java/coralcove/dns/DnsMessage.java
@@ -3,6 +3,7 @@
 import java.io.ByteArrayOutputStream;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.List;
 import java.util.Locale;
 
@@ -11,12 +12,15 @@
  * only what a stub resolver looks at is understood, other record data stays bytes.
  */
 public record DnsMessage(int id, boolean response, boolean truncated, int code, String name, int type,
-        List<Resource> answers, List<Resource> authority) {
+        List<Resource> answers, List<Resource> authority, List<Resource> additional) {
     /** One record; {@code life} in seconds. */
     public record Resource(String name, int type, long life, byte[] data) {}
 
     public static final int SOA = 6;
     public static final int CNAME = 5;
+    public static final int A = 1;
+    public static final int AAAA = 28;
+    public static final int SRV = 33;
     public static final int NAPTR = 35;
     public static final int NO_ERROR = 0;
     public static final int SERVER_FAILURE = 2;
@@ -26,23 +30,28 @@
     private static final int LONGEST_NAME = 255;
     private static final int LONGEST_LABEL = 63;
     /** Records read of one message at most: past it the message is taken for an attack on the reader. */
-    private static final int MOST_RECORDS = 200;
+    private static final int MOST_RECORDS = 400;
     /** Seconds: lives with the top bit set count as 0 (RFC 2181 section 8). */
     private static final long LIFE_MOST = 0x7fff_ffffL;
 
     /** A question, recursion desired. */
     public static DnsMessage question(int id, String name, int type) {
-        return new DnsMessage(id, false, false, NO_ERROR, name.toLowerCase(Locale.ROOT), type, List.of(), List.of());
+        return new DnsMessage(id, false, false, NO_ERROR, name.toLowerCase(Locale.ROOT), type, List.of(), List.of(), List.of());
     }
 
     /** The answer to this question. */
     public DnsMessage answer(int withCode, List<Resource> withAnswers, List<Resource> withAuthority) {
-        return new DnsMessage(id, true, false, withCode, name, type, withAnswers, withAuthority);
+        return new DnsMessage(id, true, false, withCode, name, type, withAnswers, withAuthority, List.of());
+    }
+
+    /** The same with these beside. */
+    public DnsMessage with(List<Resource> beside) {
+        return new DnsMessage(id, response, truncated, code, name, type, answers, authority, beside);
     }
 
     /** The same without records, to be asked again over TCP (RFC 1035 section 4.2.1). */
     public DnsMessage cut() {
-        return new DnsMessage(id, true, true, code, name, type, List.of(), List.of());
+        return new DnsMessage(id, true, true, code, name, type, List.of(), List.of(), List.of());
     }
 
     // ---- written
@@ -54,12 +63,13 @@
         out.two(1);
         out.two(answers.size());
         out.two(authority.size());
-        out.two(0);
+        out.two(additional.size());
         out.name(name);
         out.two(type);
         out.two(INTERNET);
         answers.forEach(out::resource);
         authority.forEach(out::resource);
+        additional.forEach(out::resource);
         return out.bytes.toByteArray();
     }
 
@@ -100,12 +110,12 @@
         int questions = in.two();
         int answers = in.two();
         int authority = in.two();
-        in.two();
+        int additional = in.two();
         if (questions != 1) {
             throw new BadDns(questions + " questions");
         }
-        if (answers + authority > MOST_RECORDS) {
-            throw new BadDns(answers + authority + " records");
+        if (answers + authority + additional > MOST_RECORDS) {
+            throw new BadDns(answers + authority + additional + " records");
         }
         String name = in.name();
         int type = in.two();
@@ -113,7 +123,7 @@
             throw new BadDns("a class that is not IN");
         }
         return new DnsMessage(id, (flags & 0x8000) != 0, (flags & 0x0200) != 0, flags & 15, name, type,
-                in.resources(answers), in.resources(authority));
+                in.resources(answers), in.resources(authority), in.resources(additional));
     }
 
     private static final class Reader {
@@ -169,6 +179,26 @@
             return name.toString();
         }
 
+        /** Record data; names in it that may point back into the message are written out. */
+        byte[] data(int type, int length) throws BadDns {
+            int end = at + length;
+            int before = type == SRV ? 6 : 0;
+            if (type != CNAME && type != SRV || length < before + 1) {
+                byte[] data = Arrays.copyOfRange(bytes, at, end);
+                at = end;
+                return data;
+            }
+            byte[] head = Arrays.copyOfRange(bytes, at, at + before);
+            at += before;
+            byte[] name = plainName(name());
+            if (at != end) {
+                throw new BadDns("record data of " + length + " bytes that ends " + (at - end) + " past its length");
+            }
+            byte[] data = Arrays.copyOf(head, before + name.length);
+            System.arraycopy(name, 0, data, before, name.length);
+            return data;
+        }
+
         List<Resource> resources(int count) throws BadDns {
             List<Resource> list = new ArrayList<>(count);
             for (int i = 0; i < count; i++) {
@@ -180,15 +210,26 @@
                 if (at + length > bytes.length) {
                     throw new BadDns("record data of " + length + " bytes where " + (bytes.length - at) + " are left");
                 }
-                byte[] data = new byte[length];
-                System.arraycopy(bytes, at, data, 0, length);
-                at += length;
+                byte[] data = data(type, length);
                 list.add(new Resource(name, type, life > LIFE_MOST ? 0 : life, data));
             }
             return list;
         }
     }
 
+    /** A name without pointers, as it stands in record data from {@code at} on. */
+    public static String plainName(byte[] data, int at) throws BadDns {
+        Reader in = new Reader(data);
+        in.at = at;
+        return in.name();
+    }
+
+    public static byte[] plainName(String name) {
+        Writer out = new Writer();
+        out.name(name);
+        return out.bytes.toByteArray();
+    }
+
     /** The seconds for which it may be remembered that there is no such record (RFC 2308 section 5); 0 if not told. */
     public long negativeLife() {
         for (Resource each : authority) {
--- a/src/main/java/coralcove/dns/PortabilityServer.java
+++ b/src/main/java/coralcove/dns/DnsStandIn.java
@@ -6,34 +6,40 @@
 import java.util.random.RandomGenerator;
 
 /**
- * A stand-in portability server: it answers ENUM questions from a map of moved numbers, and misbehaves as told. It has
- * no sockets and no clock: a question in, packets with their delays out.
+ * A stand-in name server: it answers from its zone, and misbehaves as told. It has no sockets and no clock: a question
+ * in, packets with their delays out.
  */
-public final class PortabilityServer {
+public final class DnsStandIn {
     /** How it misbehaves; SLOW delays each answer by {@code delay}. */
-    public enum Fault { NONE, SLOW, DEAD, CUTS, LIES_ABOUT_LENGTH, OTHER_QUESTION, TWICE, FAILS, CIRCLES }
+    public enum Fault { NONE, SLOW, DEAD, CUTS, LIES_ABOUT_LENGTH, OTHER_QUESTION, TWICE, FAILS, CIRCLES, CUTS_ALL }
 
     /** A packet to be sent {@code delay} µs later. */
     public record Packet(long delay, byte[] bytes) {}
 
-    private final String suffix;
-    private final UnaryOperator<String> moved;
-    private final long life;
+    /** What it knows. */
+    public interface Zone {
+        DnsMessage answer(DnsMessage question);
+    }
+
+    private final Zone zone;
     private final long usual;
     private final RandomGenerator chance;
     private Fault fault = Fault.NONE;
     private long delay;
     private long asked;
 
-    /** {@code moved} gives a number's routing number, digits, or null; {@code life} in seconds, {@code usual} the usual delay in µs. */
-    public PortabilityServer(String suffix, UnaryOperator<String> moved, long life, long usual, RandomGenerator chance) {
-        this.suffix = suffix;
-        this.moved = moved;
-        this.life = life;
+    /** {@code usual} is the usual delay in µs. */
+    public DnsStandIn(Zone zone, long usual, RandomGenerator chance) {
+        this.zone = zone;
         this.usual = usual;
         this.chance = chance;
     }
 
+    /** A portability server: {@code moved} gives a number's routing number, digits, or null; {@code life} in seconds. */
+    public DnsStandIn(String suffix, UnaryOperator<String> moved, long life, long usual, RandomGenerator chance) {
+        this(question -> ported(question, suffix, moved, life), usual, chance);
+    }
+
     public void misbehave(Fault how, long by) {
         fault = how;
         delay = by;
@@ -54,12 +60,18 @@
         }
         long after = Math.max(1, (long) (usual * (0.5 + chance.nextDouble())));
         List<Packet> packets = new ArrayList<>();
-        DnsMessage good = answer(question);
+        DnsMessage good = zone.answer(question);
         switch (fault) {
             case NONE -> packets.add(new Packet(after, good.bytes()));
             case SLOW -> packets.add(new Packet(after + delay, good.bytes()));
             case DEAD -> { }
             case CUTS -> packets.add(new Packet(after, (stream ? good : good.cut()).bytes()));
+            case CUTS_ALL -> {
+                // Cut as a datagram, and nobody there for the stream that it asks for.
+                if (!stream) {
+                    packets.add(new Packet(after, good.cut().bytes()));
+                }
+            }
             case LIES_ABOUT_LENGTH -> {
                 byte[] lie = good.bytes();
                 // The two bytes of the last record's length lie before its data; there may be no record at all.
@@ -72,7 +84,7 @@
                 packets.add(new Packet(after, lie));
             }
             case OTHER_QUESTION -> packets.add(new Packet(after, new DnsMessage(good.id(), true, false, good.code(),
-                    "9." + good.name(), good.type(), good.answers(), good.authority()).bytes()));
+                    "9." + good.name(), good.type(), good.answers(), good.authority(), good.additional()).bytes()));
             case TWICE -> {
                 packets.add(new Packet(after, good.bytes()));
                 packets.add(new Packet(2 * after, good.bytes()));
@@ -90,7 +102,7 @@
         return packets;
     }
 
-    private DnsMessage answer(DnsMessage question) {
+    private static DnsMessage ported(DnsMessage question, String suffix, UnaryOperator<String> moved, long life) {
         String digits = Enum.digits(question.name(), suffix);
         String routing = digits == null || question.type() != DnsMessage.NAPTR ? null : moved.apply(digits);
         if (routing == null) {
--- a/src/main/java/coralcove/dns/Resolver.java
+++ b/src/main/java/coralcove/dns/Resolver.java
@@ -56,8 +56,19 @@
     /** Tries to draw an id that is in use by no other question before it is given up: 65,536 are plenty. */
     private static final int DRAWS = 8;
 
+    /** Failures in a row after which a server rests, and µs for how long: doubling up to the most. */
+    private static final int FAILURES = 5;
+    private static final long REST = 2_000_000;
+    private static final long REST_MOST = 60_000_000;
+
+    private static final class Health {
+        int failures;
+        long restsUntil;
+    }
+
     private final Settings settings;
     private final RandomGenerator chance;
+    private final Map<Server, Health> health = new HashMap<>();
     private final Map<Integer, Question> byId = new HashMap<>();
     private final Map<Long, Question> byStream = new HashMap<>();
     /** By moment and a number that makes moments differ. */
@@ -83,6 +94,9 @@
 
     /** The next try, at the next server; after the last the question has failed. */
     private void next(long now, Question question, String why, Out out) {
+        if (question.server != null) {
+            failed(now, question.server);
+        }
         forget(question, out);
         if (question.sent >= settings.tries) {
             count("failed");
@@ -99,7 +113,7 @@
         }
         question.id = id;
         question.socket = chance.nextInt(settings.sockets);
-        question.server = settings.servers.get(question.sent % settings.servers.size());
+        question.server = server(now, question.sent);
         question.sent++;
         byId.put(id, question);
         arm(now + settings.tryFor, question);
@@ -107,6 +121,28 @@
         out.datagram(question.socket, question.server, DnsMessage.question(id, question.name, question.type).bytes());
     }
 
+    /** Servers in turn, but those that rest; the one whose turn it is where all do. */
+    private Server server(long now, int turn) {
+        int count = settings.servers.size();
+        for (int i = 0; i < count; i++) {
+            Server each = settings.servers.get((turn + i) % count);
+            Health known = health.get(each);
+            if (known == null || now >= known.restsUntil) {
+                return each;
+            }
+        }
+        return settings.servers.get(turn % count);
+    }
+
+    private void failed(long now, Server server) {
+        Health it = health.computeIfAbsent(server, s -> new Health());
+        it.failures++;
+        if (it.failures >= FAILURES) {
+            it.restsUntil = now + Math.min(REST_MOST, REST << Math.min(8, it.failures - FAILURES));
+            count("rests");
+        }
+    }
+
     private void arm(long at, Question question) {
         question.until = at;
         due.computeIfAbsent(at, t -> new ArrayList<>()).add(question);
@@ -194,6 +230,7 @@
             return;
         }
         forget(question, out);
+        health.remove(question.server);
         count("answered");
         out.done(question.owner, new Result(answer, ""));
     }
--- a/src/main/java/coralcove/dns/transport/DnsClient.java
+++ b/src/main/java/coralcove/dns/transport/DnsClient.java
@@ -1,5 +1,6 @@
 package coralcove.dns.transport;
 
+import coralcove.dns.Questions;
 import coralcove.dns.Resolver;
 import coralcove.mina.Mina;
 import java.net.InetSocketAddress;
@@ -22,7 +23,7 @@
  * The resolver on Apache MINA: one thread owns it, sockets are connected, each from a port that the system draws, and
  * are replaced after a while. Answers are handed over on the resolver's thread.
  */
-public final class DnsClient implements AutoCloseable {
+public final class DnsClient implements Questions, AutoCloseable {
     /** Datagrams sent by one socket before it is replaced: a port that is used for long can be guessed. */
     private static final int USES = 1000;
     /** Milliseconds to open a stream at most. */
@@ -67,6 +68,7 @@
     }
 
     /** Asks; {@code done} is called once, on the resolver's thread. After {@link #close} nothing is asked. */
+    @Override
     public void ask(String name, int type, Consumer<Resolver.Result> done) {
         run(() -> resolver.ask(now(), name, type, done, outputs));
     }
--- a/src/main/java/coralcove/dns/transport/DnsServer.java
+++ b/src/main/java/coralcove/dns/transport/DnsServer.java
@@ -1,6 +1,6 @@
 package coralcove.dns.transport;
 
-import coralcove.dns.PortabilityServer;
+import coralcove.dns.DnsStandIn;
 import coralcove.mina.Mina;
 import java.io.IOException;
 import java.net.InetSocketAddress;
@@ -15,13 +15,13 @@
 
 /** The stand-in portability server on Apache MINA, UDP and TCP on one port; one thread owns the server. */
 public final class DnsServer implements AutoCloseable {
-    private final PortabilityServer server;
+    private final DnsStandIn server;
     private final ScheduledExecutorService thread;
     private final NioDatagramAcceptor datagrams = new NioDatagramAcceptor();
     private final NioSocketAcceptor streams = new NioSocketAcceptor(1);
 
     /** Binds both; a port in use ends in an IOException that names the address. */
-    public DnsServer(String host, int port, PortabilityServer server) throws IOException {
+    public DnsServer(String host, int port, DnsStandIn server) throws IOException {
         this.server = server;
         thread = Executors.newSingleThreadScheduledExecutor(r -> {
             Thread made = new Thread(r, "portability");
@@ -41,7 +41,7 @@
         }
     }
 
-    public void misbehave(PortabilityServer.Fault how, long by) {
+    public void misbehave(DnsStandIn.Fault how, long by) {
         thread.execute(() -> server.misbehave(how, by));
     }
 
--- a/src/main/java/coralcove/edge/EdgeCore.java
+++ b/src/main/java/coralcove/edge/EdgeCore.java
@@ -7,6 +7,7 @@
 import coralcove.Exchange.Phase;
 import coralcove.Session;
 import coralcove.Waiting;
+import coralcove.dns.Questions;
 import coralcove.numbers.NumberTable;
 import coralcove.numbers.Porting;
 import coralcove.numbers.Search;
@@ -119,6 +120,17 @@
         return roster.resume(now, kept, keep);
     }
 
+    /** Takes DNS for a further source of the roster; {@code results} carries each answer back to {@link #found}. */
+    public void locate(long now, LocatorSettings of, Questions questions, Consumer<LocatorResult> results) {
+        roster.locate(now, of, questions, results);
+    }
+
+    /** An answer from a name server. */
+    public void found(long now, LocatorResult it, Out out) {
+        roster.found(now, it, out);
+        rest(now, out);
+    }
+
     /** What sources say and what is believed. */
     public Roster roster() {
         return roster.roster();
--- a/src/main/java/coralcove/edge/EdgeFile.java
+++ b/src/main/java/coralcove/edge/EdgeFile.java
@@ -11,15 +11,16 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.SplittableRandom;
 
 /**
  * Reads a call router's settings file (docs/operating.md lists its keys); {@code numbers} and
  * {@code planner}, where a planner connects, are null without their tables; {@code store}, where it keeps what it
  * has learnt, and {@code plans}, where the edge keeps the plan in force, and {@code roster}, where it keeps what directories said,
- * without their keys.
+ * without their keys; {@code dns} without its table.
  */
 public record EdgeFile(EdgeSettings settings, String policy, NumbersFile numbers, Hop planner, Path store,
-        Path plans, boolean ahead, Path roster) {
+        Path plans, boolean ahead, Path roster, LocatorSettings dns) {
     public static EdgeFile of(Toml toml) throws BadConfig {
         Toml.Table edge = toml.table("edge");
         int number = edge.whole("number", 0, 65_535);
@@ -59,6 +60,8 @@
             throw edge.bad("exchange", "is the router's own address");
         }
         NumbersFile numbers = toml.has("numbers") ? NumbersFile.of(toml.table("numbers")) : null;
+        LocatorSettings dns = toml.has("dns") ? LocatorSettings.of(toml.table("dns"), number, routers,
+                new SplittableRandom(settings.start().hashCode())) : null;
         Hop planner = null;
         String store = "";
         String plans = "";
@@ -78,6 +81,6 @@
         }
         toml.nothingElse();
         return new EdgeFile(settings, policy, numbers, planner, store.isEmpty() ? null : Path.of(store),
-                plans.isEmpty() ? null : Path.of(plans), ahead, roster.isEmpty() ? null : Path.of(roster));
+                plans.isEmpty() ? null : Path.of(plans), ahead, roster.isEmpty() ? null : Path.of(roster), dns);
     }
 }
--- /dev/null
+++ b/src/main/java/coralcove/edge/LocatorResult.java
@@ -0,0 +1,6 @@
+package coralcove.edge;
+
+import coralcove.dns.Resolver;
+
+/** How a question of a router's locator ended. */
+public record LocatorResult(String name, int type, Resolver.Result result) {}
--- a/src/main/java/coralcove/edge/NumbersFile.java
+++ b/src/main/java/coralcove/edge/NumbersFile.java
@@ -17,6 +17,15 @@
     static NumbersFile of(Toml.Table table) throws BadConfig {
         Porting.Settings porting = porting(table);
         String changes = table.text("changes", "");
+        List<Resolver.Server> servers = servers(table);
+        return new NumbersFile(Path.of(table.text("table")), changes.isEmpty() ? null : Path.of(changes),
+                table.whole("most_tables", 1, 100, 4), porting, table.text("suffix", "e164.arpa"),
+                new Resolver.Settings(servers, table.millis("try_ms", 1, 10_000, 120), table.whole("tries", 1, 10, 2),
+                        SOCKETS, porting.asked()));
+    }
+
+    /** HOST:PORT, several with commas between. */
+    static List<Resolver.Server> servers(Toml.Table table) throws BadConfig {
         List<Resolver.Server> servers = new ArrayList<>();
         for (String each : table.text("servers").split(",")) {
             String text = each.strip();
@@ -27,10 +36,7 @@
             }
             servers.add(new Resolver.Server(text.substring(0, colon), Integer.parseInt(text.substring(colon + 1))));
         }
-        return new NumbersFile(Path.of(table.text("table")), changes.isEmpty() ? null : Path.of(changes),
-                table.whole("most_tables", 1, 100, 4), porting, table.text("suffix", "e164.arpa"),
-                new Resolver.Settings(servers, table.millis("try_ms", 1, 10_000, 120), table.whole("tries", 1, 10, 2),
-                        SOCKETS, porting.asked()));
+        return servers;
     }
 
     /** What a router and a day have in common. */
--- a/src/main/java/coralcove/edge/RosterDesk.java
+++ b/src/main/java/coralcove/edge/RosterDesk.java
@@ -3,6 +3,8 @@
 import coralcove.CallRouter;
 import coralcove.Exchange;
 import coralcove.config.Hops;
+import coralcove.dns.Locator;
+import coralcove.dns.Questions;
 import coralcove.protocol.ListingText;
 import coralcove.sip.Hop;
 import coralcove.sip.Out;
@@ -28,7 +30,7 @@
  * A router's subscriptions at its directories and at its own exchange: what they say is handed to the {@link Roster}, and
  * what that believes to the module. It decides nothing; when a directory is asked anew the module says.
  */
-final class RosterDesk implements Subscriber.User {
+final class RosterDesk implements Subscriber.User, Locator.Out {
     static final String EXCHANGES = "exchanges";
     static final String GROUPS = "trunk-groups";
     /** Seconds a subscription lasts: a directory that has restarted is found out within half of that. */
@@ -61,6 +63,9 @@
     private volatile Set<Integer> farEnds = Set.of();
     private Consumer<List<Roster.Said>> keep = said -> { };
     private Timers.Timer step;
+    private Locator locator;
+    private Timers.Timer look;
+    private final List<String> said = new ArrayList<>();
 
     RosterDesk(EdgeSettings settings, Agent agent, Timers timers, CallRouter router, User user, RandomGenerator chance) {
         this.settings = settings;
@@ -164,6 +169,46 @@
         }
     }
 
+    /** Takes DNS for a further source from now on. */
+    void locate(long now, LocatorSettings of, Questions questions, Consumer<LocatorResult> results) {
+        locator = new Locator(of.numbers(), of::name, of.transport(), of.chance(), (name, type) -> questions.ask(name, type,
+                result -> results.accept(new LocatorResult(name, type, result))), this);
+        locator.start(now);
+        look = timers.set(now, this::look);
+    }
+
+    private void look(long now, Out out) {
+        locator.tick(now);
+        located(now, out);
+    }
+
+    /** An answer from a name server. */
+    void found(long now, LocatorResult it, Out out) {
+        locator.answered(now, it.name(), it.type(), it.result());
+        located(now, out);
+    }
+
+    private void located(long now, Out out) {
+        said.forEach(each -> out.log("dns", "", each));
+        said.clear();
+        timers.cancel(look);
+        long due = locator.due();
+        look = due == Long.MAX_VALUE ? null : timers.set(Math.max(now, due), this::look);
+        tell(now, out);
+    }
+
+    @Override
+    public void located(long now, int number, List<String> addresses, boolean stale) {
+        // An INVITE for another that DNS sends here would come round to this router.
+        roster.located(now, number, addresses.stream().filter(each -> !each.substring(4).equals(settings.self().host() + ":"
+                + settings.self().port())).toList(), stale);
+    }
+
+    @Override
+    public void log(String event, String detail) {
+        said.add(event + " " + detail);
+    }
+
     /** Tells the module what has changed in what is believed, and comes back when age alone will change it. */
     private void tell(long now, Out out) {
         List<Exchange> news = roster.news(now);
--- a/src/main/java/coralcove/portability/Portability.java
+++ b/src/main/java/coralcove/portability/Portability.java
@@ -3,13 +3,15 @@
 import coralcove.dns.BadDns;
 import coralcove.dns.DnsMessage;
 import coralcove.dns.Enum;
-import coralcove.dns.PortabilityServer;
+import coralcove.dns.DnsStandIn;
+import coralcove.dns.Questions;
 import coralcove.dns.Resolver;
 import coralcove.dns.transport.DnsClient;
 import coralcove.dns.transport.DnsServer;
 import coralcove.edge.EdgeCore;
 import coralcove.edge.NumberDesk;
 import coralcove.network.Network;
+import coralcove.network.VirtualDns;
 import coralcove.numbers.Digits;
 import coralcove.numbers.Porting;
 import java.io.IOException;
@@ -32,7 +34,7 @@
     /** The way of the router that runs as {@code node}. */
     NumberDesk.Asker asker(String node, Supplier<EdgeCore> core);
 
-    void misbehave(PortabilityServer.Fault how, long by);
+    void misbehave(DnsStandIn.Fault how, long by);
 
     @Override
     void close();
@@ -59,19 +61,15 @@
         network.on(node, (now, out) -> core.get().ported(now, number, ended, found, lives, out));
     }
 
-    private static String name(long number) {
-        return Enum.name(Digits.text(number), SUFFIX);
-    }
-
     /** A router's way over this resolver, which its owner closes. */
-    static NumberDesk.Asker over(DnsClient client, String suffix, Network network, String node,
+    static NumberDesk.Asker over(Questions client, String suffix, Network network, String node,
             Supplier<EdgeCore> core) {
         return (now, number) -> client.ask(Enum.name(Digits.text(number), suffix), DnsMessage.NAPTR,
                 result -> tell(network, node, core, number, result));
     }
 
     /** A stand-in server on loopback sockets, and a resolver for each router. */
-    static Portability live(Network network, PortabilityServer server, String host, int port) throws IOException {
+    static Portability live(Network network, DnsStandIn server, String host, int port) throws IOException {
         DnsServer running = new DnsServer(host, port, server);
         List<DnsClient> clients = new ArrayList<>();
         return new Portability() {
@@ -84,7 +82,7 @@
             }
 
             @Override
-            public void misbehave(PortabilityServer.Fault how, long by) {
+            public void misbehave(DnsStandIn.Fault how, long by) {
                 running.misbehave(how, by);
             }
 
@@ -97,15 +95,18 @@
     }
 
     /** In virtual time, over a network that loses nothing. */
-    static Portability virtual(Network network, PortabilityServer server, long seed) {
+    static Portability virtual(Network network, DnsStandIn server, long seed) {
         return new Portability() {
             @Override
             public NumberDesk.Asker asker(String node, Supplier<EdgeCore> core) {
-                return new Way(network, server, node, core, seed);
+                VirtualDns way = new VirtualDns(network, server, new Resolver.Settings(List.of(new Resolver.Server(
+                        "portability", 53)), TRY_FOR, TRIES, SOCKETS, MOST_OUT),
+                        new SplittableRandom(seed + node.hashCode()));
+                return over(way, SUFFIX, network, node, core);
             }
 
             @Override
-            public void misbehave(PortabilityServer.Fault how, long by) {
+            public void misbehave(DnsStandIn.Fault how, long by) {
                 server.misbehave(how, by);
             }
 
@@ -113,65 +114,4 @@
             public void close() { }
         };
     }
-
-    /** One router's resolver in virtual time. */
-    final class Way implements NumberDesk.Asker, Resolver.Out {
-        private final Network network;
-        private final PortabilityServer server;
-        private final String node;
-        private final Supplier<EdgeCore> core;
-        private final Resolver resolver;
-        private long armed = Long.MAX_VALUE;
-
-        private Way(Network network, PortabilityServer server, String node, Supplier<EdgeCore> core, long seed) {
-            this.network = network;
-            this.server = server;
-            this.node = node;
-            this.core = core;
-            resolver = new Resolver(new Resolver.Settings(List.of(new Resolver.Server("portability", 53)), TRY_FOR,
-                    TRIES, SOCKETS, MOST_OUT), new SplittableRandom(seed + node.hashCode()));
-        }
-
-        @Override
-        public void ask(long now, long number) {
-            resolver.ask(now, name(number), DnsMessage.NAPTR, number, this);
-            arm();
-        }
-
-        private void arm() {
-            long due = resolver.due();
-            if (due < armed) {
-                armed = due;
-                network.at(due, () -> {
-                    armed = Long.MAX_VALUE;
-                    resolver.tick(network.now(), this);
-                    arm();
-                });
-            }
-        }
-
-        @Override
-        public void datagram(int socket, Resolver.Server to, byte[] bytes) {
-            server.ask(bytes, false).forEach(packet -> network.at(network.now() + packet.delay(), () -> {
-                resolver.datagram(network.now(), socket, to, packet.bytes(), this);
-                arm();
-            }));
-        }
-
-        @Override
-        public void stream(long key, Resolver.Server to, byte[] bytes) {
-            server.ask(bytes, true).forEach(packet -> network.at(network.now() + packet.delay(), () -> {
-                resolver.stream(network.now(), key, packet.bytes(), this);
-                arm();
-            }));
-        }
-
-        @Override
-        public void close(long key) { }
-
-        @Override
-        public void done(Object owner, Resolver.Result result) {
-            tell(network, node, core, (Long) owner, result);
-        }
-    }
 }
--- a/src/main/java/coralcove/rehearsal/Day.java
+++ b/src/main/java/coralcove/rehearsal/Day.java
@@ -11,12 +11,13 @@
 
 /**
  * A day ready to be played: who is there, which groups join them, when which caller dials, what goes wrong and
- * when. Times are µs from the day's first moment; {@code groups[i][j]} are the circuits between i and j.
+ * when. Times are µs from the day's first moment; {@code groups[i][j]} are the circuits between i and j. DNS names
+ * routers too where {@code dnsLife}, its records' life in seconds, is above 0.
  */
 public record Day(String name, long length, int[] zones, int[][] groups, List<List<Arrival>> arrivals,
         List<Service> services, ExchangeSettings.Work work, double[] speeds, ExchangeSettings.Callers callers, int hotLines,
         Late late, Rules rules, Router router, Weather weather, String transport, List<Trouble> troubles,
-        List<String> unmapped, Numbers numbers, Planners planners, int directories) {
+        List<String> unmapped, Numbers numbers, Planners planners, int directories, long dnsLife) {
 
     /** Directories of a day at most. */
     public static final int MOST_DIRECTORIES = 4;
--- a/src/main/java/coralcove/rehearsal/DayFile.java
+++ b/src/main/java/coralcove/rehearsal/DayFile.java
@@ -88,6 +88,10 @@
         Day.Late lateness = new Day.Late(late.millis("notice_ms", 0, 60_000, 1000),
                 late.millis("silence_ms", 1500, 120_000, 8000), late.millis("add_ms", 0, 60_000, 800));
         int directories = late.whole("count", 1, Day.MOST_DIRECTORIES, 1);
+        long dnsLife = late.whole("dns_life_s", 0, 86_400, 0);
+        if (dnsLife == 0 && troubles.stream().anyMatch(t -> t.kind().startsWith("dns"))) {
+            throw late.bad("dns_life_s", "is 0 or missing, and a trouble of DNS needs it");
+        }
         Rules rules = rules(toml.table("rules"), work);
         Toml.Table net = toml.table("net");
         Weather weather = new Weather(net.millis("near_ms", 0.001, 1000, 0.1), net.millis("same_ms", 0.001, 1000, 1),
@@ -112,7 +116,7 @@
                     a.number(), a.hold(), dials.dial(a.farEnd(), chance))).toList()).toList();
         }
         return new Day(name, length, zones, groups, arrivals, services, work, speeds, habits, hotLines,
-                lateness, rules, router, weather, transport, troubles, List.of(), numbers, planners, directories);
+                lateness, rules, router, weather, transport, troubles, List.of(), numbers, planners, directories, dnsLife);
     }
 
     private static Day.Numbers numbers(Toml.Table table) throws BadConfig {
--- a/src/main/java/coralcove/rehearsal/Trouble.java
+++ b/src/main/java/coralcove/rehearsal/Trouble.java
@@ -10,7 +10,8 @@
     public static final List<String> KINDS = List.of("surge", "swamped", "death", "drain", "slow", "other-work",
             "stall", "silence", "lost-answers", "lost-circuits", "ageing", "router-death",
             "portability-dead", "portability-slow", "planner-halt", "planner-slow", "mass-call",
-            "directory-death", "directory-restart", "directory-cut", "directory-forged");
+            "directory-death", "directory-restart", "directory-cut", "directory-forged",
+            "dns-dead", "dns-truncated", "dns-stale");
 
     boolean strikes(int exchange) {
         return on.isEmpty() || on.contains(exchange);
--- a/src/main/java/coralcove/sources/Belief.java
+++ b/src/main/java/coralcove/sources/Belief.java
@@ -22,6 +22,8 @@
         DNS_ONLY,
         /** DNS does not name it any more, and no list ever did. */
         DNS_DROPPED,
+        /** DNS names one address for two numbers, as a wildcard does: whose it is nobody knows. */
+        DNS_SHARED,
         /** A directory lists a machine of its number, which counts before DNS. */
         DNS_YIELDS
     }
--- a/src/main/java/coralcove/sources/Roster.java
+++ b/src/main/java/coralcove/sources/Roster.java
@@ -199,7 +199,7 @@
         if (addresses.contains(it.address) || stale) {
             return;
         }
-        touched.add(dnsId(it));
+        located.values().forEach(each -> touched.add(dnsId(each)));
         it.address = addresses.isEmpty() ? "" : addresses.get(0);
         if (!it.address.isEmpty()) {
             // A machine that nobody proves to be warm counts as cold from its first sight.
@@ -354,6 +354,12 @@
                 continue;
             }
             Why why = Why.DNS_ONLY;
+            for (Map.Entry<Integer, Located> other : located.entrySet()) {
+                // A router serves one number: an address of two is a wildcard's, or a mistake, and whose nobody knows.
+                if (!other.getKey().equals(each.getKey()) && other.getValue().address.equals(it.address)) {
+                    why = Why.DNS_SHARED;
+                }
+            }
             for (Directory from : directories) {
                 for (Map.Entry<Long, Life> line : from.lines.entrySet()) {
                     Belief known = line.getValue().number() == each.getKey() ? believe(now, line.getKey()) : null;
--- a/src/test/java/coralcove/rehearsal/RehearsalTest.java
+++ b/src/test/java/coralcove/rehearsal/RehearsalTest.java
@@ -63,6 +63,7 @@
         String text = Files.readString(Path.of("days/bad-day.toml"));
         String day = text.substring(0, text.indexOf("[[trouble]]"))
                 + "\n[planner]\napart = true\n\n[numbers]\nported = 0.3\nreplace_s = 0.7\nlife_s = 2\n" + troubles;
+        day = day.replace("[directory]", "[directory]\ndns_life_s = 3\ncount = 2");
         Result result = Rehearse.virtual(DayFile.of(Toml.of("all.toml", day), 5), 5, "choice", null, null);
         kept(result);
         assertThat(result.stats().cut).isPositive();
