--- a/src/main/java/coralcove/cli/Commands.java
+++ b/src/main/java/coralcove/cli/Commands.java
@@ -72,7 +72,7 @@
         description = "A call router for a private voice network, its stand-ins and rehearsals.",
         subcommands = {Commands.Edge.class, Commands.PlannerCommand.class, PairCommand.class,
             Commands.Exchange.class, Commands.Directory.class,
-            Commands.RehearseCommand.class, Commands.Compare.class, Commands.JudgeCommand.class, Commands.Check.class, NumbersCommand.class,
+            Commands.RehearseCommand.class, Commands.Compare.class, Commands.JudgeCommand.class, Commands.Check.class, NumbersCommand.class, SourcesCommand.class,
             ExperimentCommand.class,
             Commands.DrillHelp.class},
         footer = {"", "Exit: 0 good, 1 bad input, 2 usage, 3 a rule broken.", "", "Examples:",
@@ -384,6 +384,11 @@
                     + "p99 %.2f ms%n", stats.setUp.getValueAtPercentile(50) / 1e3,
                     stats.setUp.getValueAtPercentile(99) / 1e3, result.added().getValueAtPercentile(50) / 1e3,
                     result.added().getValueAtPercentile(99) / 1e3);
+            if (result.lastSent().getTotalCount() > 0) {
+                System.out.printf(Locale.ROOT, "last INVITE after a drain or an end was told: p99 %.0f ms, most %.0f ms, of %d "
+                        + "tellings%n", result.lastSent().getValueAtPercentile(99) / 1e3,
+                        result.lastSent().getMaxValue() / 1e3, result.lastSent().getTotalCount());
+            }
             result.rules().values().forEach(Commands::print);
         }
     }
--- a/src/main/java/coralcove/edge/EdgeCore.java
+++ b/src/main/java/coralcove/edge/EdgeCore.java
@@ -4,6 +4,7 @@
 import coralcove.CallRouter;
 import coralcove.Cause;
 import coralcove.Ending;
+import coralcove.Exchange;
 import coralcove.Exchange.Phase;
 import coralcove.Session;
 import coralcove.Waiting;
@@ -111,7 +112,7 @@
         super(settings.self(), settings.start());
         this.settings = settings;
         this.router = router;
-        roster = new RosterDesk(settings, agent, timers, router, this, new SplittableRandom(settings.seed()
+        roster = new RosterDesk(settings, agent, timers, this, new SplittableRandom(settings.seed()
                 ^ settings.start().hashCode()));
     }
 
@@ -746,11 +747,17 @@
     }
 
     @Override
-    public void rostered(long now) {
+    public void rostered(long now, List<Exchange> news) {
+        router.roster(now, false, news);
         toldCircuits.clear();
         trunks.numbers().forEach(number -> circuits(now, number));
     }
 
+    @Override
+    public void rosterLost(long now) {
+        router.rosterLost(now);
+    }
+
     @Override
     public boolean groups(long now, List<String> lines) {
         try {
--- a/src/main/java/coralcove/edge/RosterDesk.java
+++ b/src/main/java/coralcove/edge/RosterDesk.java
@@ -1,6 +1,5 @@
 package coralcove.edge;
 
-import coralcove.CallRouter;
 import coralcove.Exchange;
 import coralcove.config.Hops;
 import coralcove.dns.Locator;
@@ -22,7 +21,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
-import java.util.TreeSet;
 import java.util.function.Consumer;
 import java.util.random.RandomGenerator;
 
@@ -40,8 +38,11 @@
 
     /** What the router does with news. */
     interface User {
-        /** The roster has changed. */
-        void rostered(long now);
+        /** The roster has changed, by these lines. */
+        void rostered(long now, List<Exchange> news);
+
+        /** A subscription at a directory has ended; {@link RosterDesk#ask} is wanted some time. */
+        void rosterLost(long now);
 
         /** A list of groups of the own exchange; false if it cannot be read. */
         boolean groups(long now, List<String> lines);
@@ -53,7 +54,6 @@
     private final EdgeSettings settings;
     private final Agent agent;
     private final Timers timers;
-    private final CallRouter router;
     private final User user;
     private final Subscriber subscriber;
     private final Roster roster;
@@ -67,11 +67,10 @@
     private Timers.Timer look;
     private final List<String> said = new ArrayList<>();
 
-    RosterDesk(EdgeSettings settings, Agent agent, Timers timers, CallRouter router, User user, RandomGenerator chance) {
+    RosterDesk(EdgeSettings settings, Agent agent, Timers timers, User user, RandomGenerator chance) {
         this.settings = settings;
         this.agent = agent;
         this.timers = timers;
-        this.router = router;
         this.user = user;
         subscriber = new Subscriber(agent, timers, chance, this);
         roster = new Roster(settings.directories().stream().map(Hop::toString).toList());
@@ -165,7 +164,7 @@
             timers.set(now + GROUPS_AGAIN, this::askGroups);
         } else {
             out.log("directory-lost", "", it.to() + ": " + why);
-            router.rosterLost(now);
+            user.rosterLost(now);
         }
     }
 
@@ -219,9 +218,8 @@
         if (news.isEmpty()) {
             return;
         }
-        router.roster(now, false, news);
-        farEnds = Set.copyOf(new TreeSet<>(roster.numbers()));
-        user.rostered(now);
+        farEnds = Set.copyOf(roster.numbers());
+        user.rostered(now, news);
         List<String> words = new ArrayList<>();
         for (Exchange each : news) {
             Belief belief = roster.belief(each.id());
--- a/src/main/java/coralcove/judge/Judge.java
+++ b/src/main/java/coralcove/judge/Judge.java
@@ -16,6 +16,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import org.HdrHistogram.Histogram;
 
 /**
  * Judges the five rules from captured traffic alone: each message that a call router read or wrote, with its time.
@@ -25,6 +26,9 @@
     /** Services a header may name; the judge holds no settings of the routers. */
     private static final int SERVICES = 1000;
 
+    /** µs: the longest time after a drain that is told apart. */
+    private static final long LONGEST_SENT = 3_600_000_000L;
+
     /** One session at one router, from the INVITE it read. */
     private static final class Seen {
         final String node;
@@ -83,6 +87,8 @@
         boolean off;
         boolean ready;
         long notReadyAt;
+        /** µs from then to the last INVITE sent to it, -1 for none. */
+        long lastSent = -1;
 
         /** {@code missed}: a list lacks it, or a line calls it silent, as of this sign of life. */
         void said(long now, long ofStart, long ofBeat, boolean missed, boolean drainsOrLeft) {
@@ -112,11 +118,12 @@
         final Hop peer;
         String tag = "";
         long sequence = -1;
-        /** What its lists have said of whom: start and sign of life. */
-        final Map<Long, long[]> named = new HashMap<>();
+        /** What this directory's lists have said to the router, of whom: start and sign of life. */
+        final Map<Long, long[]> named;
 
-        Asked(Hop peer) {
+        Asked(Hop peer, Map<Long, long[]> named) {
             this.peer = peer;
+            this.named = named;
         }
     }
 
@@ -129,6 +136,7 @@
     private final Map<String, Set<Sent>> open = new HashMap<>();
     private final Map<String, Map<Long, Told>> lists = new HashMap<>();
     private final Map<String, Asked> asked = new HashMap<>();
+    private final Map<String, Map<Long, long[]>> named = new HashMap<>();
     private final Map<String, Boolean> setUps = new HashMap<>();
     private final Map<Integer, ArrayDeque<Arrived>> cold = new HashMap<>();
     private final Map<Integer, Long> starts = new HashMap<>();
@@ -161,6 +169,14 @@
         return verdicts;
     }
 
+    /** µs from a router's being told that a machine drains or is gone to the last INVITE it sent there, 0 for none. */
+    public Histogram lastSent() {
+        Histogram all = new Histogram(LONGEST_SENT, 3);
+        lists.values().forEach(list -> list.values().stream().filter(told -> !told.ready)
+                .forEach(told -> all.recordValue(Math.min(LONGEST_SENT, Math.max(0, told.lastSent)))));
+        return all;
+    }
+
     /** A captured message could not be read; a router's own are never among them. */
     public void unreadable() {
         unreadable++;
@@ -221,7 +237,8 @@
             case "SUBSCRIBE" -> {
                 if (out && message.isRequest() && message.toTag().isEmpty()
                         && message.header("Event", "").equals("exchanges")) {
-                    asked.putIfAbsent(node + "|" + message.callId() + "|" + message.fromTag(), new Asked(peer));
+                    asked.putIfAbsent(node + "|" + message.callId() + "|" + message.fromTag(), new Asked(peer,
+                            named.computeIfAbsent(node + "|" + peer, n -> new HashMap<>())));
                 }
             }
             case "NOTIFY" -> {
@@ -353,6 +370,13 @@
                 last = Math.max(last, told.notReadyAt);
             }
         }
+        if (listed && !ready) {
+            for (Told told : lists.get(node).values()) {
+                if (told.number == number && told.notReadyAt == last) {
+                    told.lastSent = Math.max(told.lastSent, now - last);
+                }
+            }
+        }
         verdicts.get("drain").check(!listed || ready || now <= last + rules.drainGrace(), now, node, seen.sessionId,
                 "to " + number + " " + (now - last) + " us after it was told");
     }
@@ -396,7 +420,7 @@
         in.sequence = Math.max(in.sequence, notify.sequence());
         List<String> lines = notify.text().lines().toList();
         Map<Long, Told> list = lists.computeIfAbsent(node, n -> new HashMap<>());
-        Set<Long> named = new LinkedHashSet<>();
+        Set<Long> here = new LinkedHashSet<>();
         for (String line : lines) {
             String[] parts = line.split(" ");
             if (parts.length != 7 || !parts[0].matches("\\d+")) {
@@ -405,7 +429,7 @@
             long id = Long.parseLong(parts[0]);
             long start = Long.parseLong(parts[3]);
             long beat = Long.parseLong(parts[4]);
-            named.add(id);
+            here.add(id);
             in.named.put(id, new long[] {start, beat});
             Told told = list.computeIfAbsent(id, n -> new Told());
             told.number = Integer.parseInt(parts[1]);
@@ -414,7 +438,7 @@
         }
         if (inOrder && !lines.isEmpty() && lines.get(0).endsWith(" whole")) {
             in.named.forEach((id, last) -> {
-                if (!named.contains(id)) {
+                if (!here.contains(id)) {
                     list.get(id).said(now, last[0], last[1], true, false);
                 }
             });
--- a/src/main/java/coralcove/rehearsal/Rehearse.java
+++ b/src/main/java/coralcove/rehearsal/Rehearse.java
@@ -156,7 +156,7 @@
     private static Result result(Day day, long seed, String policy, boolean virtual, Stats stats, Meter meter,
             Judge judge, long[] numbers, Histogram ages, long zero) {
         return new Result(day.name(), policy, seed, virtual, day.length() / 1e6, day.offered(), stats, meter.added,
-                virtual ? 0 : cpu(), judge.verdicts(), numbers, ages, zero);
+                virtual ? 0 : cpu(), judge.verdicts(), numbers, ages, zero, judge.lastSent());
     }
 
     /** µs of processor time that this process has used. */
--- a/src/main/java/coralcove/rehearsal/Result.java
+++ b/src/main/java/coralcove/rehearsal/Result.java
@@ -11,10 +11,11 @@
  * What a rehearsal came to: what the callers saw, and what the judge found. {@code cpu} is the processor time of the
  * whole process in µs, stand-ins and judge too; 0 in virtual time. {@code numbers} counts what became of
  * ported numbers at all routers, {@code zero} is the moment of the day's start in the network's time: answered from memory, asked for, answered past their lifetime, sent to the donor.
+ * {@code lastSent} has, a router and machine that drained or went, µs from its being told to the last INVITE it sent there.
  */
 public record Result(String day, String policy, long seed, boolean virtual, double seconds, double offered, Stats stats,
         Histogram added, long cpu, Map<String, Verdict> rules, long[] numbers,
-        Histogram planAges, long zero) {
+        Histogram planAges, long zero, Histogram lastSent) {
     public double share() {
         return offered == 0 ? 0 : stats.valueServed / offered;
     }
@@ -41,6 +42,10 @@
             out.put("plan_age_p50_us", planAges.getValueAtPercentile(50));
             out.put("plan_age_p99_us", planAges.getValueAtPercentile(99));
         }
+        if (lastSent.getTotalCount() > 0) {
+            out.put("last_invite_after_off_p99_us", lastSent.getValueAtPercentile(99));
+            out.put("last_invite_after_off_most_us", lastSent.getMaxValue());
+        }
         if (numbers.length > 0) {
             out.putObject("ported").put("remembered", numbers[0]).put("asked", numbers[1]).put("stale", numbers[2])
                     .put("donor", numbers[3]);
--- a/src/test/java/coralcove/judge/JudgeTest.java
+++ b/src/test/java/coralcove/judge/JudgeTest.java
@@ -181,6 +181,7 @@
     void anInviteAtTheEndOfTheGrace() {
         list(0, READY).list(100, DRAINING).session(1000).wrote(1100, invite("o", "s", 900)).reply(1200, "o", 503, 42)
                 .answer(1300, 480, "a").broken("");
+        assertThat(judge.lastSent().getMaxValue()).isBetween(1000 * MS, 1001 * MS);
     }
 
     @Test
