Name the moment of a late final answer, not the capture's end

The judge printed the end of the capture for each answer that came too late, so that several late answers of different causes looked like one. It prints the answer's own moment.

--- a/src/main/java/coralcove/judge/Judge.java
+++ b/src/main/java/coralcove/judge/Judge.java
@@ -476,7 +476,8 @@
                 continue;
             }
             boolean kept = seen.finals > 0 && seen.answeredAt <= limit;
-            verdict.check(kept, now, seen.node, seen.sessionId, seen.finals == 0 ? "no final answer"
+            verdict.check(kept, seen.finals == 0 ? now : seen.answeredAt, seen.node, seen.sessionId, seen.finals == 0
+                    ? "no final answer"
                     : "answered " + (seen.answeredAt - limit) + " us too late");
         }
     }
