--- a/src/main/java/coralcove/config/Hops.java
+++ b/src/main/java/coralcove/config/Hops.java
@@ -47,6 +47,9 @@
         if (!tcp && !text.startsWith("udp:") || colon < 5) {
             throw table.bad(key, "\"" + text + "\" is not udp:HOST:PORT or tcp:HOST:PORT");
         }
+        if (!tcp && text.startsWith("[", 4)) {
+            throw table.bad(key, "\"" + text + "\" is IPv6 over UDP, which is not served; tcp:[...] is");
+        }
         try {
             int port = Integer.parseInt(text.substring(colon + 1));
             if (port > 0 && port < 65_536) {
--- a/src/main/java/coralcove/edge/RosterDesk.java
+++ b/src/main/java/coralcove/edge/RosterDesk.java
@@ -198,9 +198,9 @@
 
     @Override
     public void located(long now, int number, List<String> addresses, boolean stale) {
-        // An INVITE for another that DNS sends here would come round to this router.
+        // An INVITE for another that DNS sends here would come round to this router; IPv6 is spoken over TCP only.
         roster.located(now, number, addresses.stream().filter(each -> !each.substring(4).equals(settings.self().host() + ":"
-                + settings.self().port())).toList(), stale);
+                + settings.self().port()) && !each.startsWith("udp:[")).toList(), stale);
     }
 
     @Override
--- a/src/main/java/coralcove/sip/transport/Sockets.java
+++ b/src/main/java/coralcove/sip/transport/Sockets.java
@@ -90,6 +90,11 @@
         if (closed) {
             return;
         }
+        if (!to.tcp() && to.host().startsWith("[")) {
+            // The library's datagram acceptor never returns from it, and the node's thread would stand.
+            listener.cutOff(to, "IPv6 over UDP is not served");
+            return;
+        }
         if (!to.tcp()) {
             datagrams.newSession(new InetSocketAddress(to.host(), to.port()), local).write(IoBuffer.wrap(bytes));
             return;
--- a/src/test/java/coralcove/network/LiveNetworkTest.java
+++ b/src/test/java/coralcove/network/LiveNetworkTest.java
@@ -26,6 +26,7 @@
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Assumptions;
 import org.junit.jupiter.api.Test;
 
 /** Calls over real loopback sockets; what is awaited is counted, and no verdict rests on speed. */
@@ -124,11 +125,11 @@
         network.close();
     }
 
-    private void call(boolean tcp) throws Exception {
-        Hop there = new Hop(tcp, "127.0.0.1", freePort());
+    private void call(boolean tcp, String host) throws Exception {
+        Hop there = new Hop(tcp, host, freePort());
         Phone called = new Phone(there, null, "b");
         network.add("called", there, called, false);
-        Hop here = new Hop(tcp, "127.0.0.1", freePort());
+        Hop here = new Hop(tcp, host, freePort());
         Phone caller = new Phone(here, there, "a");
         network.add("caller", here, caller, false);
         caller.sees("ringing", "answered");
@@ -137,12 +138,26 @@
 
     @Test
     void setsUpAndEndsACallOverUdp() throws Exception {
-        call(false);
+        call(false, "127.0.0.1");
     }
 
     @Test
     void setsUpAndEndsACallOverTcp() throws Exception {
-        call(true);
+        call(true, "127.0.0.1");
+    }
+
+    private static void needsIpv6() {
+        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getByName("::1"))) {
+            assertThat(socket.isBound()).isTrue();
+        } catch (IOException e) {
+            Assumptions.abort("this machine has no IPv6 loopback: " + e.getMessage());
+        }
+    }
+
+    @Test
+    void setsUpAndEndsACallOverTcpAndIpv6() throws Exception {
+        needsIpv6();
+        call(true, "[::1]");
     }
 
     @Test
