Say once what directories' cores and locators share, and drop state that nobody read

The desk copied the whole roster at each change also where nothing is kept. Subscription's states beyond "ended" and two fields of Locator were written and never read. The module is untouched.

--- a/src/main/java/coralcove/cli/Commands.java
+++ b/src/main/java/coralcove/cli/Commands.java
@@ -36,6 +36,7 @@
 import coralcove.planner.store.GroupStore;
 import coralcove.planner.transport.EdgePort;
 import coralcove.planner.transport.PlannerPort;
+import coralcove.portability.Locators;
 import coralcove.portability.Portability;
 import coralcove.rehearsal.BenchDay;
 import coralcove.rehearsal.CaptureLine;
@@ -156,9 +157,7 @@
             throw toml.table(table).bad("listen", e.getCause().getMessage());
         }
         if (file != null && file.dns() != null && core instanceof EdgeCore edge) {
-            DnsClient client = new DnsClient(file.dns().servers(), new SecureRandom());
-            network.on(name, (now, out) -> edge.locate(now, file.dns(), client,
-                    result -> network.on(name, (at, o) -> edge.found(at, result, o))));
+            Locators.join(network, name, edge, file.dns(), new DnsClient(file.dns().servers(), new SecureRandom()));
         }
         if (link != null && core instanceof EdgeCore edge) {
             try {
@@ -222,11 +221,8 @@
                     ? Policies.router(file.policy(), module, file.settings().seed())
                     : new Choice(module, new SplittableRandom(file.settings().seed()), keeper));
             if (file.roster() != null) {
-                var log = LoggerFactory.getLogger("edge-" + file.settings().number());
-                RosterStore store = new RosterStore(file.roster(), said -> log.warn("roster: {}", said));
-                int taken = core.resume(LiveNetwork.clock(), store.read(), store::keep);
-                store.start();
-                log.info("roster: {} lines of the last start resumed", taken);
+                RosterStore.keep(file.roster(), "edge-" + file.settings().number(),
+                        (kept, to) -> core.resume(LiveNetwork.clock(), kept, to));
             }
             EdgeLink link = file.planner() == null ? null
                     : new EdgeLink(module, keeper, facts, System.currentTimeMillis(), keep(file, keeper));
--- a/src/main/java/coralcove/cli/SourcesCommand.java
+++ b/src/main/java/coralcove/cli/SourcesCommand.java
@@ -7,6 +7,7 @@
 import coralcove.edge.EdgeSettings;
 import coralcove.edge.SourcesCore;
 import coralcove.network.LiveNetwork;
+import coralcove.portability.Locators;
 import coralcove.sip.Hop;
 import coralcove.sources.Belief;
 import coralcove.sources.Life;
@@ -56,9 +57,7 @@
         try (LiveNetwork network = new LiveNetwork(null)) {
             network.add("sources", settings.self(), core, false);
             if (file.dns() != null) {
-                DnsClient client = new DnsClient(file.dns().servers(), new SecureRandom());
-                network.on("sources", (now, out) -> core.locate(now, file.dns(), client,
-                        result -> network.on("sources", (at, o) -> core.found(at, result, o))));
+                Locators.join(network, "sources", core, file.dns(), new DnsClient(file.dns().servers(), new SecureRandom()));
             }
             network.run(network.now() + wait * 1000L);
             CompletableFuture<Seen> seen = new CompletableFuture<>();
--- a/src/main/java/coralcove/directory/DirectoryCore.java
+++ b/src/main/java/coralcove/directory/DirectoryCore.java
@@ -4,9 +4,7 @@
 import coralcove.sip.Hop;
 import coralcove.sip.Out;
 import coralcove.sip.SipMessage;
-import coralcove.sip.dialog.Agent;
-import coralcove.sip.dialog.AgentCore;
-import coralcove.sip.dialog.Call;
+import coralcove.sip.dialog.CallFreeCore;
 import coralcove.sip.event.Notifier;
 import coralcove.sip.transaction.ClientTx;
 import coralcove.sip.transaction.ServerTx;
@@ -19,7 +17,7 @@
  * only whether a processor runs. Its epoch is drawn at its start; until it has been up for longer than a silence it says
  * of its lists that they are learning, since it cannot know who is missing.
  */
-public final class DirectoryCore extends AgentCore {
+public final class DirectoryCore extends CallFreeCore {
     /** Its settings in µs: how late news of a drain or an end, of silence, and of a start is. */
     public record Late(long notice, long silence, long add) {}
 
@@ -180,36 +178,6 @@
         notifier.changed(now, tag(), ListingText.head(epoch, version, Listing.Kind.CHANGES, before) + line + "\n", out);
     }
 
-    @Override
-    public void invited(long now, Call call, Hop from, Out out) {
-        agent.reject(now, call, 405, "Method Not Allowed", out);
-    }
-
-    @Override
-    public void progressed(long now, Call call, SipMessage response, Out out) {
-        // It makes no calls.
-    }
-
-    @Override
-    public void answered(long now, Call call, SipMessage response, Out out) {
-        // It makes no calls.
-    }
-
-    @Override
-    public void rejected(long now, Call call, SipMessage response, Agent.Lost lost, Out out) {
-        // It makes no calls.
-    }
-
-    @Override
-    public void cancelled(long now, Call call, Out out) {
-        // It answers at once.
-    }
-
-    @Override
-    public void hungUp(long now, Call call, SipMessage bye, Out out) {
-        // No call stands here.
-    }
-
     @Override
     public void replied(long now, ClientTx tx, SipMessage response, Out out) {
         // A router that missed a change sees the gap at the next one and asks anew.
--- a/src/main/java/coralcove/dns/Locator.java
+++ b/src/main/java/coralcove/dns/Locator.java
@@ -38,8 +38,6 @@
     private static final class Watched {
         final int number;
         final String name;
-        long askAt;
-        boolean asking;
 
         Watched(int number, String name) {
             this.number = number;
@@ -153,12 +151,10 @@
     }
 
     private void arm(long at, Watched it) {
-        it.askAt = at;
         due.computeIfAbsent(at, t -> new ArrayList<>()).add(it);
     }
 
     private void again(long now, Watched it, long life) {
-        it.asking = false;
         double part = ASK_FROM - ASK_SPREAD * chance.nextDouble();
         arm(now + Math.max(1_000_000, (long) (Math.min(EVERY_MOST, life) * part)), it);
     }
@@ -166,7 +162,6 @@
     public void tick(long now) {
         while (!due.isEmpty() && due.firstKey() <= now) {
             for (Watched each : due.pollFirstEntry().getValue()) {
-                each.asking = true;
                 lookups.ask(now, each.name, DnsMessage.SRV, (at, found) -> srv(at, each, found), questions);
             }
         }
--- a/src/main/java/coralcove/edge/EdgeCore.java
+++ b/src/main/java/coralcove/edge/EdgeCore.java
@@ -41,7 +41,7 @@
  * One call router: it tells the module what happens and does what the module decides. Back to back user agent:
  * a session is a leg in and, one after another, legs out, all through the own exchange. It decides nothing.
  */
-public final class EdgeCore extends AgentCore implements RosterDesk.User {
+public final class EdgeCore extends AgentCore implements RosterDesk.User, Locating {
     private static final String BUSY = "Temporarily Unavailable";
     /** Bytes: a peer message longer than this is dropped and counted (the module's own bound is 256). */
     private static final int LONGEST_NEWS = 512;
@@ -121,12 +121,12 @@
         return roster.resume(now, kept, keep);
     }
 
-    /** Takes DNS for a further source of the roster; {@code results} carries each answer back to {@link #found}. */
+    @Override
     public void locate(long now, LocatorSettings of, Questions questions, Consumer<LocatorResult> results) {
         roster.locate(now, of, questions, results);
     }
 
-    /** An answer from a name server. */
+    @Override
     public void found(long now, LocatorResult it, Out out) {
         roster.found(now, it, out);
         rest(now, out);
--- a/src/main/java/coralcove/edge/RosterDesk.java
+++ b/src/main/java/coralcove/edge/RosterDesk.java
@@ -61,7 +61,8 @@
     private final Map<String, Hop> hops = new HashMap<>();
     /** The numbers in the roster, also for the checks of tables on other threads. */
     private volatile Set<Integer> farEnds = Set.of();
-    private Consumer<List<Roster.Said>> keep = said -> { };
+    /** Null where nothing is kept. */
+    private Consumer<List<Roster.Said>> keep;
     private Timers.Timer step;
     private Locator locator;
     private Timers.Timer look;
@@ -214,7 +215,9 @@
         timers.cancel(step);
         long due = roster.due(now);
         step = due == Long.MAX_VALUE ? null : timers.set(due, this::tell);
-        keep.accept(roster.said());
+        if (keep != null) {
+            keep.accept(roster.said());
+        }
         if (news.isEmpty()) {
             return;
         }
--- a/src/main/java/coralcove/edge/SourcesCore.java
+++ b/src/main/java/coralcove/edge/SourcesCore.java
@@ -5,9 +5,7 @@
 import coralcove.sip.Hop;
 import coralcove.sip.Out;
 import coralcove.sip.SipMessage;
-import coralcove.sip.dialog.Agent;
-import coralcove.sip.dialog.AgentCore;
-import coralcove.sip.dialog.Call;
+import coralcove.sip.dialog.CallFreeCore;
 import coralcove.sip.transaction.ClientTx;
 import coralcove.sip.transaction.ServerTx;
 import coralcove.sources.Roster;
@@ -16,7 +14,7 @@
 import java.util.function.Consumer;
 
 /** Asks all sources of a router as the router does, and routes nothing: for who wants to know what is believed and why. */
-public final class SourcesCore extends AgentCore implements RosterDesk.User {
+public final class SourcesCore extends CallFreeCore implements RosterDesk.User, Locating {
     private final RosterDesk desk;
 
     public SourcesCore(EdgeSettings settings) {
@@ -29,10 +27,12 @@
         desk.ask(now, out);
     }
 
+    @Override
     public void locate(long now, LocatorSettings of, Questions questions, Consumer<LocatorResult> results) {
         desk.locate(now, of, questions, results);
     }
 
+    @Override
     public void found(long now, LocatorResult it, Out out) {
         desk.found(now, it, out);
     }
@@ -69,34 +69,4 @@
     public boolean groups(long now, List<String> lines) {
         return false;
     }
-
-    @Override
-    public void invited(long now, Call call, Hop from, Out out) {
-        agent.reject(now, call, 405, "Method Not Allowed", out);
-    }
-
-    @Override
-    public void progressed(long now, Call call, SipMessage response, Out out) {
-        // It makes no calls.
-    }
-
-    @Override
-    public void answered(long now, Call call, SipMessage response, Out out) {
-        // It makes no calls.
-    }
-
-    @Override
-    public void rejected(long now, Call call, SipMessage response, Agent.Lost lost, Out out) {
-        // It makes no calls.
-    }
-
-    @Override
-    public void cancelled(long now, Call call, Out out) {
-        // It answers at once.
-    }
-
-    @Override
-    public void hungUp(long now, Call call, SipMessage bye, Out out) {
-        // No call stands here.
-    }
 }
--- a/src/main/java/coralcove/rehearsal/DnsSource.java
+++ b/src/main/java/coralcove/rehearsal/DnsSource.java
@@ -10,6 +10,7 @@
 import coralcove.edge.LocatorSettings;
 import coralcove.network.Network;
 import coralcove.network.VirtualDns;
+import coralcove.portability.Locators;
 import java.io.IOException;
 import java.io.UncheckedIOException;
 import java.security.SecureRandom;
@@ -78,8 +79,7 @@
         }
         LocatorSettings of = new LocatorSettings(IntStream.range(0, exchanges).filter(i -> i != number).boxed().toList(),
                 PATTERN, "udp", settings, new SplittableRandom(seed * 31 + number));
-        network.on(node, (now, out) -> core.locate(now, of, questions,
-                result -> network.on(node, (at, o) -> core.found(at, result, o))));
+        Locators.join(network, node, core, of, questions);
     }
 
     void misbehave(DnsStandIn.Fault fault) {
@@ -95,11 +95,6 @@
         say(number, on ? NOBODY : firstPort + 2 * number);
     }
 
-    /** Questions that reached the server. */
-    long asked() {
-        return server.asked();
-    }
-
     @Override
     public void close() {
         clients.forEach(DnsClient::close);
--- a/src/main/java/coralcove/sip/event/Subscriber.java
+++ b/src/main/java/coralcove/sip/event/Subscriber.java
@@ -97,7 +97,7 @@
         if (!it.stands()) {
             return;
         }
-        it.state = Subscription.State.ENDED;
+        it.ended = true;
         timers.cancel(it.renew);
         timers.cancel(it.end);
         standing.remove(it.key());
@@ -107,7 +107,6 @@
 
     private void lives(long now, Subscription it, long seconds) {
         long life = Math.max(LIFE_LEAST, Math.min(LIFE_MOST, seconds)) * 1_000_000;
-        it.state = Subscription.State.ACTIVE;
         it.expiresAt = now + life;
         timers.cancel(it.end);
         timers.cancel(it.renew);
--- a/src/main/java/coralcove/sip/event/Subscription.java
+++ b/src/main/java/coralcove/sip/event/Subscription.java
@@ -6,14 +6,12 @@
 
 /** One subscription of this node (RFC 6665 4.1): a dialog in which only the notifier that was asked is heard. */
 public final class Subscription {
-    enum State { PENDING, ACTIVE, ENDED }
-
     final Hop to;
     final String event;
     final Object owner;
     /** The first SUBSCRIBE: its From, Call-ID and Contact are the dialog's. */
     final SipMessage first;
-    State state = State.PENDING;
+    boolean ended;
     String remoteTag = "";
     long sequence = 1;
     long heardSequence = -1;
@@ -48,7 +46,7 @@
 
     /** Whether it has not ended yet. */
     public boolean stands() {
-        return state != State.ENDED;
+        return !ended;
     }
 
     String key() {
--- a/src/main/java/coralcove/sources/store/RosterStore.java
+++ b/src/main/java/coralcove/sources/store/RosterStore.java
@@ -9,6 +9,8 @@
 import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.Consumer;
 import java.util.zip.CRC32C;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /**
  * What directories have said, on a router's own disk, for its restart while no directory is up: one entry a source and
@@ -29,6 +31,20 @@
                 RosterStore::out, RosterStore::in), said);
     }
 
+    /** Takes what was kept before a start, and whom all that is said from now on is handed to; how much counted. */
+    public interface Resuming {
+        int resume(List<Roster.Said> kept, Consumer<List<Roster.Said>> to);
+    }
+
+    /** Resumes from a store and keeps on writing to it, until the program ends. */
+    public static void keep(Path path, String node, Resuming core) {
+        Logger log = LoggerFactory.getLogger(node);
+        RosterStore store = new RosterStore(path, said -> log.warn("roster: {}", said));
+        int taken = core.resume(store.read(), store::keep);
+        store.start();
+        log.info("roster: {} lines of the last start resumed", taken);
+    }
+
     /** All that is sound; read before {@link #start}. */
     public List<Roster.Said> read() {
         return store.read();
