--- a/src/main/java/coralcove/drill/Boot.java
+++ b/src/main/java/coralcove/boot/Boot.java
@@ -1,41 +1,57 @@
-package coralcove.drill;
+package coralcove.boot;
 
+import coralcove.Micros;
 import coralcove.Settings;
+import coralcove.config.BadConfig;
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 
-/** Reads a router's path=value settings into this project's words. Nothing is decided here. */
-final class Boot {
-    private final Map<String, String> pairs = new HashMap<>();
+/**
+ * A router's settings, as the simulator's first message and the platform's configuration both give them: paths and values.
+ * Reads them into this project's words. Nothing is decided here.
+ */
+public final class Boot {
+    private final Map<String, String> pairs;
 
-    private Boot(String text) {
+    private Boot(Map<String, String> pairs) {
+        this.pairs = pairs;
+    }
+
+    /** From lines of path=value. */
+    public static Boot read(String text) {
+        Map<String, String> pairs = new HashMap<>();
         text.lines().forEach(line -> {
             int at = line.indexOf('=');
             if (at > 0) {
                 pairs.put(line.substring(0, at).strip(), line.substring(at + 1).strip());
             }
         });
+        return new Boot(pairs);
+    }
+
+    /** From paths that are taken apart already. */
+    public static Boot of(Map<String, String> pairs) {
+        return new Boot(Map.copyOf(pairs));
     }
 
-    static Settings read(String text) throws BadFrame {
-        Boot boot = new Boot(text);
+    public Settings settings() throws BadConfig {
         try {
-            return boot.settings();
+            return read();
         } catch (NumberFormatException e) {
-            throw new BadFrame("settings: not a number: " + e.getMessage());
+            throw new BadConfig("settings: not a number: " + e.getMessage());
         }
     }
 
-    private Settings settings() throws BadFrame {
+    private Settings read() throws BadConfig {
         List<Settings.Service> services = new ArrayList<>();
         List<String> holds = list("family_info.call_length");
         List<String> widths = list("family_info.class_width");
         int count = Integer.parseInt(need("classes.count"));
         if (count < 1 || holds.size() < count || widths.size() < count) {
-            throw new BadFrame("settings: call_length or class_width is shorter than classes.count=" + count);
+            throw new BadConfig("settings: call_length or class_width is shorter than classes.count=" + count);
         }
         for (int i = 0; i < count; i++) {
             String at = "classes." + i + ".";
@@ -63,15 +79,15 @@
         return found;
     }
 
-    private String need(String path) throws BadFrame {
+    public String need(String path) throws BadConfig {
         String value = pairs.get(path);
         if (value == null || value.isEmpty()) {
-            throw new BadFrame("settings: " + path + " is missing");
+            throw new BadConfig("settings: " + path + " is missing");
         }
         return value;
     }
 
-    private String get(String path, String otherwise) {
+    public String get(String path, String otherwise) {
         String value = pairs.get(path);
         return value == null || value.isEmpty() ? otherwise : value;
     }
@@ -84,18 +100,37 @@
         return Double.parseDouble(get(path, Double.toString(otherwise)));
     }
 
-    private List<String> list(String path) {
+    public List<String> list(String path) {
         String value = get(path, "");
         return value.isEmpty() ? List.of() : Arrays.asList(value.split(","));
     }
 
     /** Nanoseconds to microseconds: an allowance is never lengthened. */
     private static long down(String nanos) {
-        return Math.floorDiv(Long.parseLong(nanos), 1000L);
+        return Micros.down(Long.parseLong(nanos));
     }
 
     /** Nanoseconds to microseconds: a wait is never shortened. */
     private static long up(String nanos) {
-        return Line.up(Long.parseLong(nanos));
+        return Micros.up(Long.parseLong(nanos));
+    }
+
+    /** The same for one setting; {@code otherwise} is in µs. */
+    public long up(String path, long otherwise) throws BadConfig {
+        try {
+            String value = get(path, "");
+            return value.isEmpty() ? otherwise : up(value);
+        } catch (NumberFormatException e) {
+            throw new BadConfig("settings: " + path + " is not a number: " + e.getMessage());
+        }
+    }
+
+    /** A whole number that counts something. */
+    public long whole(String path, long otherwise) throws BadConfig {
+        try {
+            return Long.parseLong(get(path, Long.toString(otherwise)));
+        } catch (NumberFormatException e) {
+            throw new BadConfig("settings: " + path + " is no whole number: " + e.getMessage());
+        }
     }
 }
--- a/src/main/java/coralcove/cli/Commands.java
+++ b/src/main/java/coralcove/cli/Commands.java
@@ -75,7 +75,7 @@
             Commands.Exchange.class, Commands.Directory.class,
             Commands.RehearseCommand.class, Commands.Compare.class, Commands.JudgeCommand.class, Commands.Check.class, NumbersCommand.class, SourcesCommand.class,
             ExperimentCommand.class,
-            Commands.DrillHelp.class},
+            StartedByMain.DrillHelp.class, StartedByMain.ServeHelp.class},
         footer = {"", "Exit: 0 good, 1 bad input, 2 usage, 3 a rule broken.", "", "Examples:",
             "  coralcove rehearse days/bad-day.toml --virtual",
             "  coralcove check deploy/examples/edge-0.toml",
@@ -509,16 +509,4 @@
             return 0;
         }
     }
-
-    @Command(name = "drill", mixinStandardHelpOptions = true,
-            description = "Decides on the simulator's wire, standard input to output; takes no arguments.")
-    static final class DrillHelp implements Callable<Integer> {
-        @CommandLine.Spec
-        private CommandLine.Model.CommandSpec spec;
-
-        @Override
-        public Integer call() {
-            throw new CommandLine.ParameterException(spec.commandLine(), "drill takes no arguments");
-        }
-    }
 }
--- a/src/main/java/coralcove/cli/Main.java
+++ b/src/main/java/coralcove/cli/Main.java
@@ -1,22 +1,39 @@
 package coralcove.cli;
 
+import coralcove.config.BadConfig;
 import coralcove.drill.BadFrame;
 import coralcove.drill.Drill;
+import coralcove.platform.live.Serve;
 import java.io.IOException;
+import java.nio.file.Path;
 
-/** The program's entry. {@code drill} is started here, so that it loads none of what the other commands need. */
+/** The program's entry. {@code drill} and {@code serve} are started here, without what the other commands need. */
 public final class Main {
+    /** The variable that names a session router's configuration. */
+    private static final String CONFIG = "BALANCER_CONFIG";
+
     private Main() {}
 
     public static void main(String[] args) {
-        if (args.length != 1 || !args[0].equals("drill")) {
-            System.exit(Commands.run(args));
-        }
+        String command = args.length == 1 ? args[0] : "";
         try {
-            Drill.run(System.in, System.out);
-        } catch (BadFrame | IOException e) {
+            switch (command) {
+                case "drill" -> Drill.run(System.in, System.out);
+                case "serve" -> {
+                    String file = System.getenv(CONFIG);
+                    if (file == null || file.isEmpty()) {
+                        throw new BadConfig(CONFIG + " names no configuration");
+                    }
+                    Serve.run(Path.of(file));
+                    System.exit(0);
+                }
+                default -> System.exit(Commands.run(args));
+            }
+        } catch (BadConfig | BadFrame | IOException e) {
             System.err.println("coralcove: " + e.getMessage());
             System.exit(1);
+        } catch (InterruptedException e) {
+            System.exit(1);
         }
     }
 }
--- a/src/main/java/coralcove/drill/Drill.java
+++ b/src/main/java/coralcove/drill/Drill.java
@@ -1,5 +1,11 @@
 package coralcove.drill;
 
+import coralcove.Exchange;
+import coralcove.Exchange.Phase;
+import coralcove.Micros;
+import coralcove.Settings;
+import coralcove.boot.Boot;
+import coralcove.config.BadConfig;
 import java.io.BufferedInputStream;
 import java.io.IOException;
 import java.io.InputStream;
@@ -14,9 +20,6 @@
 import java.util.Map;
 import java.util.Set;
 
-import coralcove.Exchange;
-import coralcove.Exchange.Phase;
-
 /** The simulator's wire: batches in, replies out, one {@link Line} for each instance. It decides nothing. */
 public final class Drill {
     private static final int HEADER = 16;
@@ -82,7 +85,7 @@
         }
         int who = event.u16(1);
         if (code == 3) {
-            Line line = new Line(who, event.i64(3), Boot.read(new String(event.tail(11), StandardCharsets.UTF_8)));
+            Line line = new Line(who, event.i64(3), settings(event));
             lines.put(who, line);
             woken.add(line);
             return;
@@ -111,6 +114,14 @@
         }
     }
 
+    private static Settings settings(Event event) throws BadFrame {
+        try {
+            return Boot.read(new String(event.tail(11), StandardCharsets.UTF_8)).settings();
+        } catch (BadConfig e) {
+            throw new BadFrame(e.getMessage());
+        }
+    }
+
     private static List<Exchange> ledger(Event event) throws BadFrame {
         int entries = event.i32(7);
         byte[] bytes = event.tail(event.i32(3), (long) entries * ENTRY);
@@ -122,7 +133,7 @@
                 throw new BadFrame(event.where() + ": phase " + phase + " cannot be");
             }
             list.add(new Exchange(in.getInt(at + 12) & 0xffffffffL, in.getShort(at + 16) & 0xffff,
-                    Phase.values()[phase], Line.up(in.getLong(at + 2))));
+                    Phase.values()[phase], Micros.up(in.getLong(at + 2))));
         }
         return list;
     }
--- /dev/null
+++ b/src/main/java/coralcove/platform/Callers.java
@@ -0,0 +1,106 @@
+package coralcove.platform;
+
+import coralcove.platform.caller.CallerFramer;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+/** The callers' connections: what is open on each, which may carry news of a call, and which are closed and why. */
+final class Callers {
+    /** µs that a connection may be open without a message that can be used: callers' first comes at once. */
+    private static final long SILENT = 2_000_000;
+    /** µs that a message may take to come whole. */
+    private static final long STALLED = 1_500_000;
+    /** Share of the descriptors for callers' connections: a third is theirs, as much again may be strangers. */
+    private static final double SHARE = 0.6;
+
+    static final class Caller {
+        final long id;
+        final long openedAt;
+        final CallerFramer framer = new CallerFramer();
+        final Set<Long> open = new LinkedHashSet<>();
+        /** Has sent something that can be used; only such a connection is given news of calls. */
+        boolean known;
+        long partialSince;
+
+        Caller(long id, long openedAt) {
+            this.id = id;
+            this.openedAt = openedAt;
+        }
+    }
+
+    private final int most;
+    private final Map<Long, Caller> callers = new LinkedHashMap<>();
+    private final LinkedHashSet<Long> known = new LinkedHashSet<>();
+
+    Callers(int descriptors) {
+        most = (int) (SHARE * descriptors);
+    }
+
+    Caller get(long id) {
+        return callers.get(id);
+    }
+
+    int size() {
+        return callers.size();
+    }
+
+    void opened(long now, long id) {
+        callers.put(id, new Caller(id, now));
+    }
+
+    Caller closed(long id) {
+        known.remove(id);
+        return callers.remove(id);
+    }
+
+    void useful(Caller caller) {
+        caller.known = true;
+        known.remove(caller.id);
+        known.add(caller.id);
+    }
+
+    /** The connection of a call's set-up if it is still open, else the one that sent something last; null for none. */
+    Caller forNews(long first) {
+        Caller own = callers.get(first);
+        if (own != null) {
+            return own;
+        }
+        Long last = null;
+        for (Long id : known) {
+            last = id;
+        }
+        return last == null ? null : callers.get(last);
+    }
+
+    /** Too many are open: the oldest that never said anything of use, or the one that used to and has nothing open. */
+    Caller tooMany() {
+        if (callers.size() <= most) {
+            return null;
+        }
+        Caller idle = null;
+        for (Caller caller : callers.values()) {
+            if (!caller.known && caller.open.isEmpty()) {
+                return caller;
+            }
+            idle = idle == null && caller.open.isEmpty() ? caller : idle;
+        }
+        return idle;
+    }
+
+    /** Those that are silent, or whose message does not end. */
+    List<Caller> stalled(long now) {
+        List<Caller> found = new ArrayList<>();
+        for (Caller caller : callers.values()) {
+            boolean partial = caller.framer.partial();
+            caller.partialSince = partial ? caller.partialSince == 0 ? now : caller.partialSince : 0;
+            if (partial && now - caller.partialSince > STALLED || !caller.known && now - caller.openedAt > SILENT) {
+                found.add(caller);
+            }
+        }
+        return found;
+    }
+}
--- /dev/null
+++ b/src/main/java/coralcove/platform/RouterCore.java
@@ -0,0 +1,774 @@
+package coralcove.platform;
+
+import coralcove.CallRouter;
+import coralcove.Cause;
+import coralcove.Ending;
+import coralcove.Exchange;
+import coralcove.Session;
+import coralcove.inhand.InHand;
+import coralcove.inhand.Wire;
+import coralcove.platform.Callers.Caller;
+import coralcove.platform.Exchanges.Far;
+import coralcove.platform.Exchanges.Leg;
+import coralcove.platform.bulletin.Bulletin;
+import coralcove.platform.caller.BadCallerMessage;
+import coralcove.platform.caller.CallerMessage;
+import coralcove.platform.caller.SetUp;
+import coralcove.platform.leg.LegEndings;
+import coralcove.platform.leg.LegMessages;
+import coralcove.platform.leg.Report;
+import coralcove.protocol.Outcomes;
+import coralcove.sip.BadMessage;
+import coralcove.sip.SipMessage;
+import coralcove.sip.SipParser;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.PriorityQueue;
+import java.util.function.LongConsumer;
+
+/**
+ * The session router of the platform without its sockets and clock: time and input in, actions out. Owns the sessions in
+ * hand, the one INVITE that each has out, the timers, the standing calls and whom to release. It asks the module and
+ * carries out; it decides nothing. One thread owns it; times are µs since the epoch and never go back.
+ */
+public final class RouterCore implements Wire {
+    /** Q.850: refused so that trying again is harmless; failed; cannot be used; an id in use already. */
+    private static final int REFUSED = 42;
+    private static final int FAILED = 38;
+    private static final int UNUSABLE = 100;
+    private static final int IN_USE = 81;
+    /** µs between two looks at connections that say nothing and at exchanges. */
+    private static final long LOOK = 50_000;
+    /** µs after the start from which the router serves, though an exchange was not reached yet. */
+    private static final long READY_AFTER = 1_500_000;
+    /** µs after SIGTERM for which set-ups are still taken, and those after it turned away at once. */
+    private static final long DRAIN_TAKES = 1_000_000;
+    /** µs without a message from callers after which a drained router ends. */
+    private static final long DRAIN_QUIET = 150_000;
+    /** Calls that stand at most: past it a set-up is turned away. */
+    private static final int MOST_STANDING = 50_000;
+    /** Ended INVITEs and releases of calls not known yet that are remembered, and for how long: an answer's way. */
+    private static final int MOST_REMEMBERED = 4_000;
+    private static final long REMEMBERED = 12_000_000;
+    /** Releases that wait for a caller's connection at most. */
+    private static final int MOST_WAITING = 10_000;
+
+    private static final class Invite {
+        final Far far;
+        final long sentAt;
+        final long limit;
+        Leg leg;
+
+        Invite(Far far, long sentAt, long limit) {
+            this.far = far;
+            this.sentAt = sentAt;
+            this.limit = limit;
+        }
+    }
+
+    private static final class Held {
+        final SetUp setUp;
+        final Caller caller;
+        Invite out;
+
+        Held(SetUp setUp, Caller caller) {
+            this.setUp = setUp;
+            this.caller = caller;
+        }
+    }
+
+    private record Standing(Far far, long caller, long since) {}
+
+    private record Due(long at, long order, LongConsumer act) {}
+
+    private record Past(long at, Far far) {}
+
+    private final ServiceSettings settings;
+    private final Actions actions;
+    private final CallRouter router;
+    private final InHand inHand;
+    private final Exchanges exchanges;
+    private final Callers callers;
+    private final Map<Long, Held> held = new HashMap<>();
+    private final Map<Long, Standing> standing = new LinkedHashMap<>();
+    private final PriorityQueue<Due> timers = new PriorityQueue<>((a, b) -> a.at != b.at
+            ? Long.compare(a.at, b.at) : Long.compare(a.order, b.order));
+    /** Releases of calls not known yet, and INVITEs given up whose answer may be on its way. */
+    private final Map<Long, Past> released = remembered();
+    private final Map<Long, Past> calledOff = remembered();
+    private final List<CallerMessage> waiting = new ArrayList<>();
+    private final List<byte[]> peers = new ArrayList<>();
+    private final Map<Long, Far> probes = new HashMap<>();
+    private final long started;
+    private long order;
+    private long now;
+    private long lastEvent;
+    private long lookAt;
+    private long drainedSince;
+    private long callerAt;
+    private long lastProbe;
+    private boolean ended;
+    private final Tally tally = new Tally();
+
+    public RouterCore(long now, ServiceSettings settings, CallRouter router, Actions actions) {
+        this.now = now;
+        started = now;
+        this.settings = settings;
+        this.router = router;
+        this.actions = actions;
+        inHand = new InHand(router, this);
+        exchanges = new Exchanges(settings.module().ownNumber(), actions, new Ends());
+        callers = new Callers(settings.descriptors());
+    }
+
+    private static Map<Long, Past> remembered() {
+        return new LinkedHashMap<>() {
+            private static final long serialVersionUID = 1;
+
+            @Override
+            protected boolean removeEldestEntry(Map.Entry<Long, Past> eldest) {
+                return size() > MOST_REMEMBERED;
+            }
+        };
+    }
+
+    /** The moment of an input: by its arrival, but never before what was looked at already. */
+    private long at(long stamp) {
+        now = Math.max(now, stamp);
+        return now;
+    }
+
+    // ---- callers
+
+    public void callerOpened(long stamp, long id) {
+        callers.opened(at(stamp), id);
+        Caller old = callers.tooMany();
+        if (old != null) {
+            tally.callersClosed++;
+            closeCaller(old);
+        }
+    }
+
+    public void callerRead(long stamp, long id, byte[] bytes) {
+        at(stamp);
+        Caller caller = callers.get(id);
+        if (caller == null) {
+            return;
+        }
+        callerAt = now;
+        caller.partialSince = 0;
+        try {
+            caller.framer.take(bytes, message -> {
+                if (callers.get(id) == caller) {
+                    message(stamp, caller, message);
+                }
+            });
+        } catch (BadCallerMessage e) {
+            tally.unreadable++;
+            closeCaller(caller);
+        }
+    }
+
+    public void callerClosed(long stamp, long id) {
+        at(stamp);
+        Caller caller = callers.closed(id);
+        if (caller != null) {
+            List.copyOf(caller.open).forEach(this::giveUp);
+        }
+    }
+
+    private void closeCaller(Caller caller) {
+        callers.closed(caller.id);
+        List.copyOf(caller.open).forEach(this::giveUp);
+        actions.closeCaller(caller.id);
+    }
+
+    private void message(long stamp, Caller caller, CallerMessage message) {
+        switch (message.type()) {
+            case CallerMessage.SET_UP -> setUp(stamp, caller, message);
+            case CallerMessage.RELEASE -> callerReleases(caller, message);
+            case CallerMessage.TEST -> {
+                callers.useful(caller);
+                boolean good = ready() && drainedSince == 0;
+                actions.toCaller(caller.id, CallerMessage.withCause(CallerMessage.TEST_ANSWER, message.call(),
+                        good ? 1 : 0));
+            }
+            case CallerMessage.RELEASE_HEARD, CallerMessage.PROGRESS -> { }
+            default -> {
+                tally.unreadable++;
+                closeCaller(caller);
+            }
+        }
+        if (caller.known) {
+            flushWaiting();
+        }
+    }
+
+    private void setUp(long stamp, Caller caller, CallerMessage message) {
+        SetUp setUp;
+        try {
+            setUp = SetUp.of(message, settings.services(), settings.widths());
+        } catch (BadCallerMessage e) {
+            tally.unusable++;
+            actions.log("unusable", LegMessages.callId(message.call()), e.getMessage());
+            release(caller, message.call(), UNUSABLE);
+            return;
+        }
+        long id = setUp.call();
+        if (setUp.standsAt() != null) {
+            callers.useful(caller);
+            stands(caller, setUp);
+            return;
+        }
+        Held before = held.get(id);
+        if (before != null || standing.containsKey(id)) {
+            // Two set-ups under one id: the answer of one would be taken for the other's.
+            tally.unusable++;
+            release(caller, id, IN_USE);
+            if (before != null && before.caller == caller) {
+                giveUp(id);
+            }
+            return;
+        }
+        callers.useful(caller);
+        tally.taken++;
+        long limit = stamp + setUp.waitMs() * 1000;
+        if (held.size() >= settings.mostOpen() || standing.size() >= MOST_STANDING
+                || drainedSince > 0 && now - drainedSince > DRAIN_TAKES) {
+            tally.refused++;
+            release(caller, id, REFUSED);
+            return;
+        }
+        held.put(id, new Held(setUp, caller));
+        caller.open.add(id);
+        Session session = new Session(id, setUp.serviceIndex(), 0, setUp.farEnd(), setUp.width(), setUp.via(),
+                setUp.transit(), Long.parseUnsignedLong(setUp.number(), 16), setUp.redialled(), setUp.cut(), stamp,
+                limit);
+        inHand.take(now, session);
+    }
+
+    /** A call that stands already, told after a start; it may have ended while nobody could be told. */
+    private void stands(Caller caller, SetUp setUp) {
+        long id = setUp.call();
+        Far far = exchanges.byName(setUp.standsAt());
+        Past past = released.remove(id);
+        if (held.containsKey(id) || standing.containsKey(id)) {
+            return;
+        }
+        if (far == null || past != null && now - past.at < REMEMBERED) {
+            tally.over++;
+            toCaller(caller.id, CallerMessage.withCause(CallerMessage.RELEASE, id, LegEndings.CUT));
+            return;
+        }
+        tally.toldStanding++;
+        standing.put(id, new Standing(far, caller.id, now));
+        far.standing++;
+    }
+
+    private void callerReleases(Caller caller, CallerMessage message) {
+        long id = message.call();
+        Held it = held.get(id);
+        if (it != null && it.caller == caller) {
+            callers.useful(caller);
+            giveUp(id);
+            return;
+        }
+        Standing call = standing.remove(id);
+        if (call != null) {
+            callers.useful(caller);
+            call.far.standing--;
+            tally.over++;
+            Leg leg = exchanges.any(call.far);
+            if (leg != null) {
+                actions.toLeg(leg.id, LegMessages.bye(id, message.cause(LegEndings.NORMAL)));
+            }
+            inHand.ended(now, id, Ending.OVER, Cause.NONE, call.far.id, 0, 0, true);
+        }
+    }
+
+    /** Its caller left or takes it back: nothing is owed, and an INVITE that is out is called off. */
+    private void giveUp(long id) {
+        Held it = held.remove(id);
+        if (it == null) {
+            return;
+        }
+        tally.givenUp++;
+        it.caller.open.remove(id);
+        inHand.left(now, id);
+        Invite out = it.out;
+        if (out != null) {
+            cancel(it);
+            inHand.ended(now, id, Ending.CANCELLED, Cause.NONE, out.far.id, now - out.sentAt, 0, true);
+        }
+    }
+
+    private void cancel(Held it) {
+        Invite out = it.out;
+        it.out = null;
+        if (out.leg != null) {
+            out.leg.invites--;
+            calledOff.put(it.setUp.call(), new Past(now, out.far));
+            actions.toLeg(out.leg.id, LegMessages.cancel(it.setUp.call(), it.setUp.number()));
+        }
+    }
+
+    private void release(Caller caller, long id, int cause) {
+        toCaller(caller.id, CallerMessage.withCause(CallerMessage.RELEASE, id, cause));
+    }
+
+    private void toCaller(long caller, CallerMessage message) {
+        actions.toCaller(caller, message);
+    }
+
+    /** News of a call that stood goes on the connection of its set-up, or another, or waits for one. */
+    private void tell(long caller, CallerMessage message) {
+        Caller to = callers.forNews(caller);
+        if (to != null) {
+            actions.toCaller(to.id, message);
+        } else if (waiting.size() < MOST_WAITING) {
+            waiting.add(message);
+        }
+    }
+
+    private void flushWaiting() {
+        if (!waiting.isEmpty()) {
+            List<CallerMessage> all = List.copyOf(waiting);
+            waiting.clear();
+            all.forEach(each -> tell(0, each));
+        }
+    }
+
+    // ---- exchanges
+
+    public void legUp(long stamp, long id) {
+        at(stamp);
+        Leg leg = exchanges.leg(id);
+        if (leg == null) {
+            // It came up as it was being closed.
+            actions.closeLeg(id);
+            return;
+        }
+        exchanges.up(now, leg);
+        for (Held it : List.copyOf(held.values())) {
+            if (it.out != null && it.out.leg == null && it.out.far == leg.far) {
+                invite(it, leg);
+            }
+        }
+    }
+
+    public void legDown(long stamp, long id, Down how) {
+        at(stamp);
+        Leg leg = exchanges.leg(id);
+        if (leg == null) {
+            return;
+        }
+        exchanges.down(now, leg, how);
+        reset(leg);
+        if (how != Down.BROKEN && leg.far.legs.stream().noneMatch(each -> each.up)) {
+            unreachable(leg.far);
+        }
+    }
+
+    public void legRead(long stamp, long id, byte[] bytes) {
+        at(stamp);
+        Leg leg = exchanges.leg(id);
+        if (leg == null) {
+            return;
+        }
+        try {
+            leg.framer.take(bytes, 0, bytes.length, whole -> {
+                if (exchanges.leg(id) == leg) {
+                    read(stamp, leg, whole);
+                }
+            });
+        } catch (BadMessage e) {
+            spoilt(leg, e.getMessage());
+        }
+    }
+
+    private void read(long stamp, Leg leg, byte[] bytes) {
+        SipMessage message;
+        try {
+            message = SipParser.parseBare(bytes);
+        } catch (BadMessage e) {
+            spoilt(leg, e.getMessage());
+            return;
+        }
+        exchanges.heard(now, leg);
+        String text = message.header("Link-State");
+        if (text != null) {
+            report(leg.far, text);
+        }
+        if (message.isRequest()) {
+            request(leg, message);
+        } else if (message.status() >= 200) {
+            answer(stamp, leg, message);
+        }
+    }
+
+    /** What cannot be read makes the rest of the stream of no use: whose answer it was is not known. */
+    private void spoilt(Leg leg, String reason) {
+        tally.spoilt++;
+        exchanges.discard(now, leg, reason);
+    }
+
+    private void report(Far far, String text) {
+        float[] columns = Report.read(text, settings.columns());
+        if (columns != null && columns[0] >= 0 && columns[1] >= 0) {
+            router.circuits(now, far.id, (int) columns[0], (int) columns[1]);
+        }
+    }
+
+    private void request(Leg leg, SipMessage message) {
+        Long id = LegMessages.call(message);
+        switch (message.method()) {
+            case "NOTIFY", "ACK" -> { }
+            case "BYE" -> {
+                actions.toLeg(leg.id, LegMessages.reply(message, 200, "OK"));
+                if (id != null) {
+                    released(leg, id, Outcomes.cause(message));
+                }
+            }
+            case "OPTIONS" -> actions.toLeg(leg.id, LegMessages.reply(message, 200, "OK"));
+            default -> actions.toLeg(leg.id, LegMessages.reply(message, 501, "Not Implemented"));
+        }
+    }
+
+    private void released(Leg leg, long id, int cause) {
+        Held it = held.get(id);
+        if (it != null && it.out != null && it.out.leg == leg) {
+            end(it, Ending.RESET, Cause.NONE, 0);
+            return;
+        }
+        Standing call = standing.get(id);
+        if (call != null && call.far == leg.far) {
+            over(id, call, cause == 0 ? LegEndings.CUT : cause);
+        } else if (call == null && it == null) {
+            // Told before its set-up is, which comes again after a start.
+            released.put(id, new Past(now, leg.far));
+        }
+    }
+
+    private void over(long id, Standing call, int cause) {
+        standing.remove(id);
+        call.far.standing--;
+        tally.over++;
+        tally.cut += cause == LegEndings.NORMAL ? 0 : 1;
+        tell(call.caller, CallerMessage.withCause(CallerMessage.RELEASE, id, cause));
+        inHand.ended(now, id, LegEndings.released(cause), Cause.NONE, call.far.id, 0, 0, true);
+    }
+
+    private void answer(long stamp, Leg leg, SipMessage message) {
+        Long id = LegMessages.call(message);
+        if (id == null) {
+            return;
+        }
+        if (message.cseqMethod().equals("OPTIONS")) {
+            probed(id, leg, message);
+            return;
+        }
+        if (!message.cseqMethod().equals("INVITE")) {
+            return;
+        }
+        Held it = held.get(id);
+        boolean awaited = it != null && it.out != null && it.out.leg == leg;
+        if (!awaited) {
+            late(leg, id, message, it);
+            return;
+        }
+        actions.toLeg(leg.id, LegMessages.ack(id, it.setUp.number()));
+        if (message.status() >= 300) {
+            Outcomes.Outcome outcome = LegEndings.of(message);
+            end(it, outcome.ending(), outcome.cause(), outcome.namedWait());
+            return;
+        }
+        if (message.body().length == 0) {
+            // An answer without what the caller needs is none.
+            tally.spoilt++;
+            actions.toLeg(leg.id, LegMessages.bye(id, LegEndings.CUT));
+            end(it, Ending.RESET, Cause.NONE, 0);
+            return;
+        }
+        held.remove(id);
+        it.caller.open.remove(id);
+        leg.invites--;
+        standing.put(id, new Standing(leg.far, it.caller.id, now));
+        leg.far.standing++;
+        tally.stood(stamp - it.out.sentAt);
+        toCaller(it.caller.id, CallerMessage.of(CallerMessage.ANSWER, id)
+                .add(CallerMessage.DESCRIPTION, message.body()));
+        inHand.stands(now, id, leg.far.id, Math.max(0, stamp - it.out.sentAt));
+    }
+
+    /** An answer that nobody waits for: a second copy, one under an unknown id, or one after its INVITE was given up. */
+    private void late(Leg leg, long id, SipMessage message, Held it) {
+        tally.late++;
+        if (message.status() < 300 && it == null && !standing.containsKey(id)) {
+            Past past = calledOff.get(id);
+            if (past != null && past.far == leg.far) {
+                actions.toLeg(leg.id, LegMessages.ack(id, LegMessages.callId(id)));
+                actions.toLeg(leg.id, LegMessages.bye(id, LegEndings.NORMAL));
+            }
+        }
+    }
+
+    private void invite(Held it, Leg leg) {
+        Invite out = it.out;
+        long within = Math.floorDiv(out.limit - now, 1000L);
+        if (within < 1) {
+            return;
+        }
+        out.leg = leg;
+        leg.invites++;
+        tally.invites++;
+        actions.toLeg(leg.id, LegMessages.invite(it.setUp.call(), it.setUp.number(), it.setUp.service(), within,
+                it.setUp.description()));
+    }
+
+    /** An INVITE is over and did not stand: the module says what next. */
+    private void end(Held it, Ending ending, Cause cause, long namedWait) {
+        Invite out = it.out;
+        it.out = null;
+        if (out.leg != null) {
+            out.leg.invites--;
+        }
+        tally.ended(ending);
+        inHand.ended(now, it.setUp.call(), ending, cause, out.far.id, now - out.sentAt, namedWait, false);
+    }
+
+    private void reset(Leg leg) {
+        for (Held it : List.copyOf(held.values())) {
+            if (it.out != null && it.out.leg == leg) {
+                end(it, Ending.RESET, Cause.NONE, 0);
+            }
+        }
+    }
+
+    /** INVITEs that waited for a leg were never written: none of them ran. */
+    private void unreachable(Far far) {
+        for (Held it : List.copyOf(held.values())) {
+            if (it.out != null && it.out.leg == null && it.out.far == far) {
+                end(it, Ending.UNREACHABLE, Cause.NONE, 0);
+            }
+        }
+    }
+
+    private void timedOut(Held it, Invite out) {
+        if (held.get(it.setUp.call()) != it || it.out != out) {
+            return;
+        }
+        if (out.leg == null) {
+            end(it, Ending.UNREACHABLE, Cause.NONE, 0);
+            return;
+        }
+        Leg leg = out.leg;
+        // Nothing came on it since: what it is waiting for may be a message that was cut short.
+        leg.spent |= leg.heardAt <= out.sentAt;
+        calledOff.put(it.setUp.call(), new Past(now, leg.far));
+        actions.toLeg(leg.id, LegMessages.cancel(it.setUp.call(), it.setUp.number()));
+        end(it, Ending.TIMED_OUT, Cause.NONE, 0);
+    }
+
+    private final class Ends implements Exchanges.Listener {
+        @Override
+        public void died(long at, Far far, String reason) {
+            if (far.standing > 0) {
+                actions.log("died", "", far.name + ": " + reason + ", " + far.standing + " calls");
+            }
+            cut(far, Long.MAX_VALUE);
+            unreachable(far);
+        }
+
+        @Override
+        public void restarted(long at, Far far) {
+            cut(far, far.since);
+        }
+
+        @Override
+        public void spent(long at, Leg leg, String reason) {
+            reset(leg);
+        }
+
+        private void cut(Far far, long before) {
+            if (far.standing == 0) {
+                return;
+            }
+            for (Map.Entry<Long, Standing> each : List.copyOf(standing.entrySet())) {
+                if (each.getValue().far == far && each.getValue().since < before) {
+                    over(each.getKey(), each.getValue(), LegEndings.CUT);
+                }
+            }
+        }
+    }
+
+    // ---- the list, peers, probes
+
+    /** Events with a number at or under the last one seen are passed over. */
+    public void bulletin(long stamp, Bulletin bulletin) {
+        at(stamp);
+        for (Bulletin.Event event : bulletin.events()) {
+            if (event.no() > lastEvent) {
+                lastEvent = event.no();
+                List<Exchange> told = exchanges.roster(now, event);
+                router.roster(now, event.whole(), told);
+                // What waits for a leg to one that drains must not be sent when the leg comes up.
+                told.stream().filter(each -> each.phase() != Exchange.Phase.READY).map(each -> exchanges.byId(each.id()))
+                        .forEach(this::unreachable);
+            }
+        }
+        exchanges.tick(now);
+    }
+
+    public void bulletinLost(long stamp) {
+        router.rosterLost(at(stamp));
+    }
+
+    public void peer(long stamp, int rank, byte[] body) {
+        router.peer(at(stamp), rank, body);
+    }
+
+    private void probed(long id, Leg leg, SipMessage message) {
+        Far far = probes.remove(id);
+        if (far != null && far == leg.far) {
+            String text = message.header("Link-State");
+            float[] columns = text == null ? null : Report.read(text, settings.columns());
+            router.report(now, far.id, message.status() == 200, 1, columns == null ? new float[0] : columns);
+        }
+    }
+
+    // ---- what the module decided
+
+    @Override
+    public void send(Session session, long exchange, long allowance) {
+        Held it = held.get(session.id());
+        Far far = exchanges.byId(exchange);
+        Invite out = new Invite(far, now, now + allowance);
+        it.out = out;
+        Leg leg = exchanges.pick(far);
+        if (leg != null) {
+            invite(it, leg);
+        } else {
+            exchanges.want(now, far);
+        }
+        timer(out.limit, moment -> timedOut(it, out));
+    }
+
+    @Override
+    public void later(Session session, long at) {
+        timer(at, moment -> inHand.due(moment, session.id()));
+    }
+
+    @Override
+    public void refuse(Session session, long comeBack) {
+        tally.refused++;
+        CallerMessage message = CallerMessage.withCause(CallerMessage.RELEASE, session.id(), REFUSED);
+        if (comeBack > 0) {
+            message.add(CallerMessage.STAY_AWAY, Long.toString((comeBack + 999) / 1000));
+        }
+        answered(session.id(), message);
+    }
+
+    @Override
+    public void fail(Session session) {
+        tally.failed++;
+        answered(session.id(), CallerMessage.withCause(CallerMessage.RELEASE, session.id(), FAILED));
+    }
+
+    private void answered(long id, CallerMessage message) {
+        Held it = held.remove(id);
+        it.caller.open.remove(id);
+        toCaller(it.caller.id, message);
+    }
+
+    @Override
+    public void subscribe() {
+        // The list's poll runs all the time; there is nothing to start.
+    }
+
+    @Override
+    public void probe(long exchange) {
+        Far far = exchanges.byId(exchange);
+        Leg leg = far == null ? null : exchanges.pick(far);
+        if (leg != null) {
+            long id = --lastProbe;
+            probes.put(id, far);
+            actions.toLeg(leg.id, LegMessages.probe(id));
+            timer(now + settings.connectTimeout(), moment -> {
+                if (probes.remove(id) != null) {
+                    router.report(moment, exchange, false, settings.connectTimeout(), new float[0]);
+                }
+            });
+        }
+    }
+
+    @Override
+    public void broadcast(byte[] body) {
+        peers.add(body);
+    }
+
+    @Override
+    public void wake(long at) {
+        timer(at, moment -> { });
+    }
+
+    private void timer(long at, LongConsumer act) {
+        timers.add(new Due(at, order++, act));
+    }
+
+    // ---- time
+
+    /** When {@link #tick} is wanted next. */
+    public long due() {
+        return Math.min(lookAt, timers.isEmpty() ? Long.MAX_VALUE : timers.peek().at);
+    }
+
+    public void tick(long moment) {
+        at(moment);
+        while (!timers.isEmpty() && timers.peek().at <= now) {
+            timers.poll().act.accept(now);
+        }
+        if (now >= lookAt) {
+            lookAt = now + LOOK;
+            exchanges.tick(now);
+            for (Caller caller : callers.stalled(now)) {
+                tally.callersClosed++;
+                closeCaller(caller);
+            }
+            if (drainedSince > 0 && !ended && now - drainedSince > DRAIN_TAKES && held.isEmpty()
+                    && now - callerAt > DRAIN_QUIET) {
+                ended = true;
+                actions.end();
+            }
+        }
+    }
+
+    /** At the end of a round of inputs: what the module wants sent besides. */
+    public void rest() {
+        inHand.rest(now);
+        peers.forEach(actions::toPeers);
+        peers.clear();
+    }
+
+    /** SIGTERM: what is owed is answered, then the program ends; the calls stand on without it. */
+    public void drain(long stamp) {
+        at(stamp);
+        if (drainedSince == 0) {
+            drainedSince = now;
+            actions.log("drain", "", held.size() + " sessions in hand, " + standing.size() + " calls stand");
+        }
+    }
+
+    /** Whether the list is known and each exchange was reached or tried. */
+    public boolean ready() {
+        return lastEvent > 0 && (exchanges.allTried() || now - started > READY_AFTER);
+    }
+
+    /** What was counted so far, in one line. */
+    public String counts() {
+        return tally + " in-hand " + held.size() + " standing " + standing.size() + " callers " + callers.size()
+                + " timers " + timers.size();
+    }
+}
--- /dev/null
+++ b/src/main/java/coralcove/platform/live/Configuration.java
@@ -0,0 +1,100 @@
+package coralcove.platform.live;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import coralcove.boot.Boot;
+import coralcove.config.BadConfig;
+import coralcove.platform.ServiceSettings;
+import coralcove.platform.bulletin.Bulletin;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+/** What the platform tells a router: its file, read whole; a mistake is told with file, key and reason. */
+record Configuration(String name, InetSocketAddress listen, long seed, ServiceSettings settings,
+        InetSocketAddress peerListen, List<InetSocketAddress> peers, InetSocketAddress peersAll, String bulletin,
+        Bulletin known) {
+    private static final int DESCRIPTORS = 256;
+
+    static Configuration read(Path file) throws BadConfig {
+        JsonNode root;
+        try {
+            root = new ObjectMapper().readTree(Files.readAllBytes(file));
+        } catch (IOException e) {
+            throw new BadConfig(file + ": cannot be read: " + e.getMessage());
+        }
+        Map<String, String> pairs = new HashMap<>();
+        flatten("", root.path("settings"), pairs);
+        try {
+            List<InetSocketAddress> peers = new ArrayList<>();
+            for (JsonNode each : root.path("peers")) {
+                peers.add(address(file, "peers", each.asText()));
+            }
+            return new Configuration(root.path("name").asText("router"),
+                    address(file, "listen", text(file, root, "listen")), seed(file, text(file, root, "seed")),
+                    ServiceSettings.of(Boot.of(pairs), root.path("limits").path("sockets").asInt(DESCRIPTORS)),
+                    root.hasNonNull("peer_listen") ? address(file, "peer_listen", text(file, root, "peer_listen")) : null,
+                    List.copyOf(peers),
+                    root.hasNonNull("peers_all") ? address(file, "peers_all", text(file, root, "peers_all")) : null,
+                    text(file, root, "bulletin"), Bulletin.of(root.get("known")));
+        } catch (IOException e) {
+            throw new BadConfig(file + ": known: " + e.getMessage());
+        }
+    }
+
+    /** Nested JSON as the paths of the simulator's first message: lists of objects by index with a count, others joined. */
+    static void flatten(String path, JsonNode node, Map<String, String> pairs) {
+        if (node.isObject()) {
+            node.properties().forEach(each -> flatten(path.isEmpty() ? each.getKey() : path + "." + each.getKey(),
+                    each.getValue(), pairs));
+        } else if (node.isArray()) {
+            boolean plain = true;
+            for (JsonNode each : node) {
+                plain &= each.isValueNode();
+            }
+            if (plain) {
+                List<String> values = new ArrayList<>();
+                node.forEach(each -> values.add(each.asText()));
+                pairs.put(path, String.join(",", values));
+                return;
+            }
+            pairs.put(path + ".count", Integer.toString(node.size()));
+            for (int i = 0; i < node.size(); i++) {
+                flatten(path + "." + i, node.get(i), pairs);
+            }
+        } else if (!node.isNull() && !node.isMissingNode()) {
+            pairs.put(path, node.asText());
+        }
+    }
+
+    private static String text(Path file, JsonNode root, String key) throws BadConfig {
+        String value = root.path(key).asText("");
+        if (value.isEmpty()) {
+            throw new BadConfig(file + ": " + key + " is missing");
+        }
+        return value;
+    }
+
+    private static long seed(Path file, String text) throws BadConfig {
+        try {
+            return Long.parseUnsignedLong(text, 16);
+        } catch (NumberFormatException e) {
+            throw new BadConfig(file + ": seed: no hex number: " + text);
+        }
+    }
+
+    static InetSocketAddress address(Path file, String key, String text) throws BadConfig {
+        int colon = text.lastIndexOf(':');
+        try {
+            return new InetSocketAddress(text.substring(0, Math.max(0, colon)),
+                    Integer.parseInt(text.substring(colon + 1)));
+        } catch (IllegalArgumentException e) {
+            throw new BadConfig(file + ": " + key + ": no address: " + text);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/coralcove/platform/live/Serve.java
@@ -0,0 +1,221 @@
+package coralcove.platform.live;
+
+import coralcove.Choice;
+import coralcove.config.BadConfig;
+import coralcove.platform.Actions;
+import coralcove.platform.Down;
+import coralcove.platform.RouterCore;
+import coralcove.platform.bulletin.Bulletin;
+import coralcove.platform.bulletin.BulletinPoll;
+import coralcove.platform.caller.CallerMessage;
+import coralcove.sip.SipMessage;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.file.Path;
+import java.util.SplittableRandom;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** One session router of the platform: sockets, clock, configuration and signals round a {@link RouterCore}. */
+public final class Serve implements Actions, Streams.Listener {
+    /** µs between two lines of counts in the log. */
+    private static final long COUNTS = 5_000_000;
+    /** Inputs taken between two looks at the timers. */
+    private static final int BATCH = 64;
+    /** Milliseconds after the last answer in which what was written goes out. */
+    private static final int LAST_WRITES = 100;
+    private static final long STARTED = System.currentTimeMillis() * 1000 - System.nanoTime() / 1000;
+
+    private final Path file;
+    private final Logger log;
+    private final Inputs inputs = new Inputs();
+    private final RouterCore core;
+    private final Streams streams;
+    private final Peers peers;
+    private final BulletinPoll poll;
+    private final Configuration configuration;
+    private volatile boolean over;
+    private long lag;
+
+    private Serve(Path file, Configuration configuration) throws IOException {
+        this.file = file;
+        this.configuration = configuration;
+        log = LoggerFactory.getLogger(configuration.name());
+        core = new RouterCore(clock(), configuration.settings(),
+                new Choice(configuration.settings().module(), new SplittableRandom(configuration.seed())), this);
+        streams = new Streams(Math.max(1, configuration.settings().connectTimeout() / 1000), Serve::clock, this);
+        peers = configuration.peerListen() == null ? null : new Peers(configuration.peerListen(), configuration.peers(),
+                configuration.peersAll(), (rank, bytes) -> {
+                    long stamp = clock();
+                    inputs.first(bytes.length, () -> core.peer(stamp, rank, bytes));
+                });
+        poll = new BulletinPoll(configuration.bulletin(), configuration.known().last(), new BulletinPoll.Listener() {
+            @Override
+            public void told(Bulletin bulletin) {
+                inputs.first(0, () -> core.bulletin(clock(), bulletin));
+            }
+
+            @Override
+            public void failed(String reason) {
+                inputs.first(0, () -> core.bulletinLost(clock()));
+            }
+        });
+    }
+
+    /** Runs until SIGTERM and until nothing is owed any more. */
+    public static void run(Path file) throws BadConfig, IOException, InterruptedException {
+        Serve serve = new Serve(file, Configuration.read(file));
+        serve.serve();
+    }
+
+    /** µs since the epoch, by a clock that never goes back. */
+    static long clock() {
+        return STARTED + System.nanoTime() / 1000;
+    }
+
+    private void serve() throws IOException, InterruptedException {
+        Signals.on("TERM", () -> inputs.first(0, () -> core.drain(clock())));
+        Signals.on("HUP", this::reload);
+        core.bulletin(clock(), configuration.known());
+        streams.listen(configuration.listen());
+        Thread thread = new Thread(poll, "bulletin");
+        thread.setDaemon(true);
+        thread.start();
+        log("serving", "", configuration.listen().toString());
+        loop();
+        poll.close();
+        streams.deaf();
+        Thread.sleep(LAST_WRITES);
+        log("ended", "", core.counts());
+        streams.close();
+    }
+
+    private void loop() throws InterruptedException {
+        long countsAt = clock() + COUNTS;
+        while (!over) {
+            Inputs.Input input = inputs.next(Math.max(0, Math.min(COUNTS, core.due() - clock())));
+            for (int i = 0; i < BATCH && input != null; i++) {
+                guarded(input.act());
+                input = inputs.next(0);
+            }
+            if (input != null) {
+                guarded(input.act());
+            }
+            long now = clock();
+            if (core.due() <= now) {
+                lag = Math.max(lag, now - core.due());
+                guarded(() -> core.tick(clock()));
+            }
+            guarded(core::rest);
+            if (now >= countsAt) {
+                countsAt = now + COUNTS;
+                log("counts", "", core.counts() + " lag-ms " + lag / 1000);
+                lag = 0;
+            }
+        }
+    }
+
+    /** A fault in one input must not end the program with all its calls. */
+    private void guarded(Runnable act) {
+        try {
+            act.run();
+        } catch (RuntimeException e) {
+            log.error("fault", e);
+        }
+    }
+
+    private void reload() {
+        try {
+            Configuration fresh = Configuration.read(file);
+            poll.address(fresh.bulletin());
+            inputs.first(0, () -> core.bulletin(clock(), fresh.known()));
+            log("reloaded", "", "bulletin " + fresh.bulletin());
+        } catch (BadConfig e) {
+            log("not-reloaded", "", e.getMessage());
+        }
+    }
+
+    // ---- from the sockets
+
+    @Override
+    public void opened(long caller) {
+        long stamp = clock();
+        inputs.caller(0, () -> core.callerOpened(stamp, caller));
+    }
+
+    @Override
+    public void read(long caller, long stamp, byte[] bytes) {
+        inputs.caller(bytes.length, () -> core.callerRead(stamp, caller, bytes));
+    }
+
+    @Override
+    public void closed(long caller) {
+        long stamp = clock();
+        inputs.caller(0, () -> core.callerClosed(stamp, caller));
+    }
+
+    @Override
+    public void legUp(long leg) {
+        long stamp = clock();
+        inputs.first(0, () -> core.legUp(stamp, leg));
+    }
+
+    @Override
+    public void legRead(long leg, long stamp, byte[] bytes) {
+        inputs.first(bytes.length, () -> core.legRead(stamp, leg, bytes));
+    }
+
+    @Override
+    public void legDown(long leg, Down how) {
+        long stamp = clock();
+        inputs.first(0, () -> core.legDown(stamp, leg, how));
+    }
+
+    // ---- from the core
+
+    @Override
+    public void toCaller(long caller, CallerMessage message) {
+        streams.toCaller(caller, message.bytes());
+    }
+
+    @Override
+    public void closeCaller(long caller) {
+        streams.closeCaller(caller);
+    }
+
+    @Override
+    public void connect(long leg, String address) {
+        int colon = address.lastIndexOf(':');
+        streams.connect(leg, new InetSocketAddress(address.substring(0, colon),
+                Integer.parseInt(address.substring(colon + 1))));
+    }
+
+    @Override
+    public void toLeg(long leg, SipMessage message) {
+        streams.toLeg(leg, message.bytes());
+    }
+
+    @Override
+    public void closeLeg(long leg) {
+        streams.closeLeg(leg);
+    }
+
+    @Override
+    public void toPeers(byte[] body) {
+        if (peers != null) {
+            peers.send(body);
+        }
+    }
+
+    @Override
+    public void log(String event, String session, String detail) {
+        if (log.isInfoEnabled()) {
+            log.atInfo().addKeyValue("session", session).addKeyValue("detail", detail).log(event);
+        }
+    }
+
+    @Override
+    public void end() {
+        over = true;
+    }
+}
--- a/src/main/java/coralcove/sip/SipParser.java
+++ b/src/main/java/coralcove/sip/SipParser.java
@@ -32,6 +32,18 @@
 
     /** Reads a whole datagram: the body is what follows the header, cut to Content-Length if there is one. */
     public static SipMessage parse(byte[] data, int from, int length) throws BadMessage {
+        return parse(data, from, length, true);
+    }
+
+    /**
+     * The same where peers leave out From, To and Via by agreement, as on a trunk that matches by Call-ID alone: the form
+     * of the message is read as strictly, but no header is asked for.
+     */
+    public static SipMessage parseBare(byte[] data) throws BadMessage {
+        return parse(data, 0, data.length, false);
+    }
+
+    private static SipMessage parse(byte[] data, int from, int length, boolean whole) throws BadMessage {
         if (length > MOST_BYTES) {
             throw new BadMessage("longer than " + MOST_BYTES + " bytes", null);
         }
@@ -63,7 +75,7 @@
             // It is written with a Content-Length, and would then be past the bound for whoever reads it.
             wrong = "more than " + MOST_FIELDS + " header fields";
         }
-        wrong = wrong == null ? check(message) : wrong;
+        wrong = wrong == null && whole ? check(message) : wrong;
         if (wrong != null) {
             throw new BadMessage(wrong, message);
         }
--- a/src/main/java/coralcove/sip/StreamFramer.java
+++ b/src/main/java/coralcove/sip/StreamFramer.java
@@ -5,11 +5,26 @@
 
 /**
  * Cuts a stream into messages by Content-Length (RFC 3261 18.3); CRLFs between messages are keep-alives
- * (RFC 5626) and skipped. Holds at most one message of {@link SipParser#MOST_BYTES}; past that the stream is bad.
+ * (RFC 5626) and skipped. Holds at most one message of the bound, {@link SipParser#MOST_BYTES} if none is given; past
+ * that the stream is bad.
  */
 public final class StreamFramer {
     private byte[] held = new byte[2048];
     private int length;
+    private final int most;
+
+    public StreamFramer() {
+        this(SipParser.MOST_BYTES);
+    }
+
+    public StreamFramer(int most) {
+        this.most = most;
+    }
+
+    /** Whether a message has begun and not ended. */
+    public boolean partial() {
+        return length > 0;
+    }
 
     /** Takes {@code count} bytes and hands out each whole message; what is not a message ends the stream. */
     public void take(byte[] data, int from, int count, Consumer<byte[]> whole) throws BadMessage {
@@ -25,8 +40,8 @@
             }
             int end = SipParser.headerEnd(held, at, length);
             int total = end < 0 ? length - at : end - at + bodyLength(at, end);
-            if (total > SipParser.MOST_BYTES) {
-                throw new BadMessage("a message longer than " + SipParser.MOST_BYTES + " bytes", null);
+            if (total > most) {
+                throw new BadMessage("a message longer than " + most + " bytes", null);
             }
             if (end < 0 || at + total > length) {
                 break;
