Refuse again, and count as no load, who calls a number before its come-back time

Strangers call one number 100 to 200 times within 0.2 s; Choice.route counted each as load, Choice.refuse laid each down as a phantom call, and lookups found no room in the targets. Now a number whose callers were asked to stay away may be called twice more until then; what comes after that is refused with the time left and counts nowhere.

--- a/src/main/java/coralcove/Choice.java
+++ b/src/main/java/coralcove/Choice.java
@@ -113,6 +113,8 @@
     /** µs: first and longest gap between INVITEs to a number whose lines were busy: part of a hold. */
     private static final long LINES_GAP = 500_000;
     private static final long LINES_GAP_MOST = 2_000_000;
+    /** Callers of a number that may come within one come-back time: more are one that repeats at once. */
+    private static final int EARLY = 2;
     /** µs: how long a caller's first try is remembered: longer than callers go on trying. */
     private static final long MEMORY = 10_000_000;
     /** µs: less than this before its timer limit a session is not sent any more; a set-up takes longer. */
@@ -254,16 +256,13 @@
 
     /** What is remembered of a number called: its caller's first try, and until when its lines seem busy. */
     private static final class Called {
-        final long first;
+        long first = -NEVER / 2;
         long gap;
         long busyUntil;
         long touched;
-
-        Called(long first, long gap, long busyUntil) {
-            this.first = first;
-            this.gap = gap;
-            this.busyUntil = busyUntil;
-        }
+        /** Until when a caller was asked to stay away, and how many came before. */
+        long awayUntil;
+        int early;
     }
 
     /** A session in hand, until nothing more can come for it. */
@@ -321,10 +320,8 @@
         overdue = given.stream().mapToLong(Settings.Service::target).min().orElse(0);
     }
 
-    /**
-     * The class of a session: odd when it can only stand late. Where callers mark redials the mark is asked
-     * first, as many may call one number; the memory of numbers tells when its caller first came.
-     */
+    // The class of a session: odd when it can only stand late. Where callers mark redials the mark is asked
+    // first, as many may call one number; the memory of numbers tells when its caller first came.
     private int kind(long now, Session session) {
         Called known = session.transit() ? null : numbers.get(session.number());
         known = known != null && now - known.first > MEMORY ? null : known;
@@ -337,9 +334,9 @@
     /** What is known of a number, made if new; the one touched longest ago is dropped once it is old. */
     private Called touch(long now, Session session) {
         Called known = numbers.remove(session.number());
-        if (known == null || now - known.first > MEMORY) {
-            long gap = known == null ? 0 : known.gap;
-            known = new Called(session.arrived(), gap, known == null ? 0 : known.busyUntil);
+        known = known == null ? new Called() : known;
+        if (now - known.first > MEMORY) {
+            known.first = session.arrived();
         }
         known.touched = now;
         numbers.put(session.number(), known);
@@ -359,6 +356,12 @@
         }
     }
 
+    /** Whether callers of a number were asked to stay away and keep coming: refused again, they are no load. */
+    private boolean early(long now, Session session) {
+        Called known = session.transit() ? null : numbers.get(session.number());
+        return known != null && now < known.awayUntil && ++known.early > EARLY;
+    }
+
     private boolean linesBusyNow(long now, Session session) {
         Called known = numbers.get(session.number());
         return known != null && now < known.busyUntil;
@@ -370,6 +373,9 @@
     public Answer route(long now, Session session) {
         begin(now);
         Held it = held.get(session.id());
+        if (it == null && early(now, session)) {
+            return Answer.refuse(numbers.get(session.number()).awayUntil - now);
+        }
         if (it == null) {
             it = new Held(session, kind(now, session));
             held.put(session.id(), it);
@@ -590,10 +596,8 @@
         return send(now, it, best);
     }
 
-    /**
-     * A slope tells of the first leg only; a tandem without a way on loads three processors for nothing.
-     * While few unknown ones lead on, they are asked only where none is known, also if the known are closed.
-     */
+    // A slope tells of the first leg only; a tandem without a way on loads three processors for nothing.
+    // While few unknown ones lead on, they are asked only where none is known, also if the known are closed.
     private boolean wayKnown(int farEnd) {
         for (Group group : groups.values()) {
             if (leads(group, farEnd)) {
@@ -645,11 +649,9 @@
                 trial ? Math.min(left, services[it.kind].target) : patience(now, it, far, left));
     }
 
-    /**
-     * While answers get lost, an exchange whose last answer was quick answers soon or not at all: waiting to
-     * the caller's time earns nothing and holds circuits. What is left of the target must pay for the release
-     * wait and a new set-up; a slow exchange, a session in transit or one past its target is waited for.
-     */
+    // While answers get lost, an exchange whose last answer was quick answers soon or not at all: waiting to
+    // the caller's time earns nothing and holds circuits. What is left of the target must pay for the release
+    // wait and a new set-up; a slow exchange, a session in transit or one past its target is waited for.
     private long patience(long now, Held it, Far far, long left) {
         long target = services[it.kind].target;
         long wait = it.session.arrived() + target - now - releaseWait - (long) (SET_UP * target);
@@ -664,14 +666,16 @@
 
     private Answer refuse(long now, Held it, Far direct) {
         held.remove(it.session.id());
+        // What can only stand late may as well come late: each try is work for a pressed processor.
+        long wait = it.kind % 2 == 0 ? (long) (COME_BACK * services[it.kind].target) : comeBack;
         if (!it.session.transit() && it.session.number() != 0) {
-            touch(now, it.session);
+            Called known = touch(now, it.session);
+            known.early = now < known.awayUntil ? known.early : 0;
+            known.awayUntil = now + Math.min(comeBack, wait);
         }
         if (direct != null) {
             direct.group.loads[it.kind].phantoms.add(now, 1);
         }
-        // What can only stand late may as well come late: each try is work for a pressed processor.
-        long wait = it.kind % 2 == 0 ? (long) (COME_BACK * services[it.kind].target) : comeBack;
         return Answer.refuse(Math.min(comeBack, wait));
     }
 
@@ -778,10 +782,8 @@
 
     // ---- what a processor shows
 
-    /**
-     * INVITEs in flight from here that may wait at the own processor. While few answers are slow, one out for
-     * longer than the shortest target waits for a far end that hangs or a lost answer, and fills no window.
-     */
+    // INVITEs in flight from here that may wait at the own processor. While few answers are slow, one out for
+    // longer than the shortest target waits for a far end that hangs or a lost answer, and fills no window.
     private int inFlight(long now) {
         while (!out.isEmpty() && (out.peek().ended || now - out.peek().sentAt > overdue)) {
             Invite invite = out.poll();
@@ -804,11 +806,9 @@
                 && inFlight(now) < Math.max(1, ownWindow * press) * place(now, ownQuick, OWN_MOST);
     }
 
-    /**
-     * Set-ups that one place of a window stands for. The windows are cut for some dozens a second; where
-     * hundreds are answered quickly, that many more are in flight without a queue, and a short stall would
-     * fill them. The widest window holds what comes while an answer still counts as quick.
-     */
+    // Set-ups that one place of a window stands for. The windows are cut for some dozens a second; where
+    // hundreds are answered quickly, that many more are in flight without a queue, and a short stall would
+    // fill them. The widest window holds what comes while an answer still counts as quick.
     private double place(long now, Ring quick, double most) {
         return Math.max(1, quick.sum(now) / PLACE_SPAN * SLOW * overdue / most);
     }
--- a/src/main/java/coralcove/platform/RouterCore.java
+++ b/src/main/java/coralcove/platform/RouterCore.java
@@ -23,10 +23,12 @@
 import coralcove.sip.SipParser;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.PriorityQueue;
+import java.util.Set;
 import java.util.function.LongConsumer;
 
 /**
@@ -53,6 +55,8 @@
     /** Ended INVITEs and releases of calls not known yet that are remembered, and for how long: an answer's way. */
     private static final int MOST_REMEMBERED = 4_000;
     private static final long REMEMBERED = 12_000_000;
+    /** Set-ups that cannot be used, of which each is logged; from then on they are only counted. */
+    private static final int MOST_TOLD = 20;
     /** Releases that wait for a caller's connection at most. */
     private static final int MOST_WAITING = 10_000;
 
@@ -156,18 +160,41 @@
         callerAt = now;
         caller.readAt = now;
         caller.partialSince = 0;
+        List<CallerMessage> messages = new ArrayList<>();
+        boolean good = true;
         try {
-            caller.framer.take(bytes, message -> {
-                if (callers.get(id) == caller) {
-                    message(stamp, caller, message);
-                }
-            });
+            caller.framer.take(bytes, messages::add);
         } catch (BadCallerMessage e) {
+            good = false;
+        }
+        Set<Long> takenBack = takenBack(messages);
+        for (CallerMessage message : messages) {
+            if (callers.get(id) == caller && !takenBack.contains(message.call())) {
+                message(stamp, caller, message);
+            }
+        }
+        if (!good && callers.get(id) == caller) {
             tally.unreadable++;
             closeCaller(caller);
         }
     }
 
+    /** Set-ups that their caller took back before they were looked at: nothing is owed, and nobody need be asked. */
+    private Set<Long> takenBack(List<CallerMessage> messages) {
+        Set<Long> setUps = new HashSet<>();
+        Set<Long> found = new HashSet<>();
+        for (CallerMessage message : messages) {
+            if (message.type() == CallerMessage.SET_UP && !held.containsKey(message.call())
+                    && !standing.containsKey(message.call())) {
+                setUps.add(message.call());
+            } else if (message.type() == CallerMessage.RELEASE && setUps.contains(message.call())) {
+                found.add(message.call());
+                tally.givenUp++;
+            }
+        }
+        return found;
+    }
+
     public void callerClosed(long stamp, long id) {
         at(stamp);
         Caller caller = callers.closed(id);
@@ -208,8 +235,9 @@
         try {
             setUp = SetUp.of(message, settings.services(), settings.widths());
         } catch (BadCallerMessage e) {
-            tally.unusable++;
-            actions.log("unusable", LegMessages.callId(message.call()), e.getMessage());
+            if (++tally.unusable <= MOST_TOLD) {
+                actions.log("unusable", LegMessages.callId(message.call()), e.getMessage());
+            }
             release(caller, message.call(), UNUSABLE);
             return;
         }
--- a/src/test/java/coralcove/ChoiceTest.java
+++ b/src/test/java/coralcove/ChoiceTest.java
@@ -16,6 +16,7 @@
 import static coralcove.Exchange.Phase.DRAINING;
 import static coralcove.Exchange.Phase.GONE;
 import static coralcove.Exchange.Phase.READY;
+import static org.assertj.core.api.Assertions.assertThat;
 
 import org.junit.jupiter.api.Test;
 
@@ -343,4 +344,44 @@
         desk.call(4, 1, 1);
         desk.reads("pools");
     }
+
+    @Test
+    void aNumberThatIsCalledAgainAtOnceIsRefusedAndIsNoLoad() {
+        // Strangers called one number 200 times in 0.2 s; counted, they left no room in the targets for callers.
+        Desk desk = three();
+        desk.circuits(1, 0, 50).circuits(2, 0, 50).circuits(3, 0, 50);
+        desk.note("full: refused, and told when to come back");
+        for (int id = 1; id <= 5; id++) {
+            desk.pass(10).dial(id, 7, false, false);
+        }
+        desk.circuits(1, 50, 50).note("there is room: callers of other numbers get it");
+        desk.dial(6, 8, false, false);
+        desk.dial(7, 7, false, false);
+        desk.pass(300).note("the one told to come back is served when it does").dial(8, 7, true, false);
+        desk.reads("called-again");
+    }
+
+    @Test
+    void repeatsAtOnceDoNotMoveTheTargets() {
+        Desk[] desks = {three(), three()};
+        for (Desk desk : desks) {
+            desk.circuits(1, 2, 50);
+            desk.load(1000, 100, 0, 1, 20).load(2000, 40, 1, 1, 20);
+            desk.circuits(1, 0, 50).circuits(2, 0, 50).circuits(3, 0, 50);
+            desk.dial(1, 7, false, false);
+            desk.dial(2, 7, false, false);
+            desk.dial(3, 7, false, false);
+        }
+        for (int id = 10; id < 210; id++) {
+            assertThat(desks[1].dial(id, 7, false, false).kind()).isEqualTo(Answer.Kind.REFUSE);
+        }
+        StringBuilder[] sent = {new StringBuilder(), new StringBuilder()};
+        for (int i = 0; i < 2; i++) {
+            desks[i].pass(6000).circuits(1, 2, 50);
+            for (int id = 5000; id < 5100; id++) {
+                sent[i].append(desks[i].pass(20).call(id, id % 2, 1).kind()).append(' ');
+            }
+        }
+        assertThat(sent[1].toString()).isEqualTo(sent[0].toString());
+    }
 }
--- a/src/test/java/coralcove/platform/RouterCoreTest.java
+++ b/src/test/java/coralcove/platform/RouterCoreTest.java
@@ -340,6 +340,26 @@
         assertThat(desk.core.counts()).contains("in-hand 0 standing 0");
     }
 
+    @Test
+    void setUpsTakenBackInTheSameReadAreNotSent() {
+        desk.core.callerOpened(desk.now(), 1);
+        ByteBuffer all = ByteBuffer.allocate(1 << 16);
+        for (int call = 1; call <= 100; call++) {
+            all.put(desk.setUp(call, 1, 1500).bytes());
+        }
+        for (int call = 1; call <= 99; call++) {
+            all.put(CallerMessage.withCause(CallerMessage.RELEASE, call, 16).bytes());
+        }
+        byte[] bytes = new byte[all.position()];
+        all.flip();
+        all.get(bytes);
+        desk.quiet = true;
+        desk.core.callerRead(desk.now(), 1, bytes);
+        assertThat(count(" INVITE")).isEqualTo(1);
+        assertThat(count("caller 1")).isZero();
+        assertThat(desk.core.counts()).contains("given-up 99 ").contains("in-hand 1 ");
+    }
+
     @Test
     void anInviteCarriesWhatTheCallerSent() {
         set(1, 0xaa, 1);
