Look at what was read before a connection closes, and pass on releases of calls from before a start

The need, from reading the code against the protocol after the lost session: a connection found silent was closed though its set-up lay in the queue (tick ran first); a router that ends slept 100 ms with open connections and answered nothing in it, while transit still came; a release of a call from before the start was only remembered. Now closes wait until all that was read is looked at (RouterCore.caughtUp), the end takes no new connection first, answers on, then closes; such a release goes to callers once. Each INVITE has its own CSeq number, each session a timer at its limit, a moved bulletin is asked at once.

--- a/src/main/java/coralcove/platform/Actions.java
+++ b/src/main/java/coralcove/platform/Actions.java
@@ -22,6 +22,9 @@
 
     void log(String event, String session, String detail);
 
-    /** Nothing is owed any more: the program may end. */
+    /** No further connection is taken; those that are open go on. */
+    void deaf();
+
+    /** Nothing is owed any more: the program may end once what was written has gone out. */
     void end();
 }
--- a/src/main/java/coralcove/platform/Callers.java
+++ b/src/main/java/coralcove/platform/Callers.java
@@ -12,11 +12,13 @@
 /** The callers' connections: what is open on each, which may carry news of a call, and which are closed and why. */
 final class Callers {
     /** µs that a connection may be open without a message that can be used: callers' first comes at once. */
-    private static final long SILENT = 2_000_000;
+    private static final long SILENT = 1_800_000;
     /** µs that a message may take to come whole. */
     private static final long STALLED = 1_500_000;
     /** µs without input after which a connection has nothing on its way, also where the router ran late. */
     private static final long SETTLED = 500_000;
+    /** µs from the mark to the close: what was read until then is looked at first. */
+    private static final long MARKED = 50_000;
     /** Share of the descriptors for callers' connections: a third is theirs, as much again may be strangers. */
     private static final double SHARE = 0.6;
 
@@ -41,6 +43,8 @@
     private final int most;
     private final Map<Long, Caller> callers = new LinkedHashMap<>();
     private final LinkedHashSet<Long> known = new LinkedHashSet<>();
+    /** Connections marked for closing, and when. */
+    private final Map<Long, Long> doomed = new LinkedHashMap<>();
 
     Callers(int descriptors) {
         most = (int) (SHARE * descriptors);
@@ -87,7 +91,7 @@
      * were silent longest. One that is young, or has just sent something, may have a set-up on its way: closing it would
      * lose a session that was taken.
      */
-    List<Caller> tooMany(long now) {
+    private List<Caller> tooMany(long now) {
         int over = callers.size() - most;
         if (over <= 0) {
             return List.of();
@@ -97,16 +101,46 @@
                 .limit(over).toList();
     }
 
-    /** Those that are silent, or whose message does not end. */
+    /** Those whose message does not end. */
     List<Caller> stalled(long now) {
         List<Caller> found = new ArrayList<>();
         for (Caller caller : callers.values()) {
             boolean partial = caller.framer.partial();
             caller.partialSince = partial ? caller.partialSince == 0 ? now : caller.partialSince : 0;
-            if (partial && now - caller.partialSince > STALLED || !caller.known && now - caller.openedAt > SILENT) {
+            if (partial && now - caller.partialSince > STALLED) {
                 found.add(caller);
             }
         }
         return found;
     }
+
+    /** Marks those to close: that never said anything of use, and while there are too many, the idlest. */
+    void mark(long now) {
+        for (Caller caller : callers.values()) {
+            if (!caller.known && now - caller.openedAt > SILENT) {
+                doomed.putIfAbsent(caller.id, now);
+            }
+        }
+        tooMany(now).forEach(caller -> doomed.putIfAbsent(caller.id, now));
+    }
+
+    /** Those marked a little ago that have sent nothing since and have nothing open. */
+    List<Caller> closable(long now) {
+        List<Caller> found = new ArrayList<>();
+        doomed.entrySet().removeIf(each -> {
+            Caller caller = callers.get(each.getKey());
+            boolean silent = caller != null && caller.open.isEmpty() && (caller.readAt < each.getValue()
+                    || !caller.known && now - caller.openedAt > SILENT + SETTLED);
+            if (silent && now - each.getValue() >= MARKED) {
+                found.add(caller);
+                return true;
+            }
+            return !silent;
+        });
+        return found;
+    }
+
+    List<Caller> all() {
+        return List.copyOf(callers.values());
+    }
 }
--- a/src/main/java/coralcove/platform/RouterCore.java
+++ b/src/main/java/coralcove/platform/RouterCore.java
@@ -65,12 +65,15 @@
         final Far far;
         final long sentAt;
         final long limit;
+        /** The CSeq number: each INVITE of a session has its own. */
+        final int sequence;
         Leg leg;
 
-        Invite(Far far, long sentAt, long limit) {
+        Invite(Far far, long sentAt, long limit, int sequence) {
             this.far = far;
             this.sentAt = sentAt;
             this.limit = limit;
+            this.sequence = sequence;
         }
     }
 
@@ -78,6 +81,7 @@
         final SetUp setUp;
         final Caller caller;
         Invite out;
+        int invites;
 
         Held(SetUp setUp, Caller caller) {
             this.setUp = setUp;
@@ -104,6 +108,8 @@
     /** Releases of calls not known yet, and INVITEs given up whose answer may be on its way. */
     private final Map<Long, Past> released = remembered();
     private final Map<Long, Past> calledOff = remembered();
+    /** Sessions and calls that this router has ended itself: a release that comes again for one is no news. */
+    private final Map<Long, Past> finished = remembered();
     private final List<CallerMessage> waiting = new ArrayList<>();
     private final List<byte[]> peers = new ArrayList<>();
     private final Map<Long, Far> probes = new HashMap<>();
@@ -115,6 +121,8 @@
     private long drainedSince;
     private long callerAt;
     private long lastProbe;
+    private long drainEnds;
+    private boolean endsNow;
     private boolean ended;
     private final Tally tally = new Tally();
 
@@ -272,9 +280,23 @@
         Session session = new Session(id, setUp.serviceIndex(), 0, setUp.farEnd(), setUp.width(), setUp.via(),
                 setUp.transit(), Long.parseUnsignedLong(setUp.number(), 16), setUp.redialled(), setUp.cut(), stamp,
                 limit);
+        timer(limit, moment -> limit(id));
         inHand.take(now, session);
     }
 
+    /** No caller waits longer: whatever the session waits for, it has its answer now. */
+    private void limit(long id) {
+        Held it = held.get(id);
+        if (it != null && it.out != null) {
+            timedOut(it, it.out);
+        }
+        if (held.get(id) == it && it != null) {
+            tally.failed++;
+            inHand.left(now, id);
+            answered(id, CallerMessage.withCause(CallerMessage.RELEASE, id, FAILED));
+        }
+    }
+
     /** A call that stands already, told after a start; it may have ended while nobody could be told. */
     private void stands(Caller caller, SetUp setUp) {
         long id = setUp.call();
@@ -283,10 +305,13 @@
         if (held.containsKey(id) || standing.containsKey(id)) {
             return;
         }
-        boolean ended = past != null && now - past.at < REMEMBERED;
-        if (far == null || ended) {
+        if (past != null && now - past.at < REMEMBERED) {
+            // Its release came first and was passed on.
+            return;
+        }
+        if (far == null) {
             tally.over++;
-            release(caller, id, ended ? past.cause : LegEndings.CUT);
+            release(caller, id, LegEndings.CUT);
             return;
         }
         tally.toldStanding++;
@@ -305,6 +330,7 @@
         Standing call = standing.remove(id);
         if (call != null) {
             callers.useful(caller);
+            finish(id);
             call.far.standing--;
             tally.over++;
             Leg leg = exchanges.any(call.far);
@@ -322,6 +348,7 @@
             return;
         }
         tally.givenUp++;
+        finish(id);
         it.caller.open.remove(id);
         inHand.left(now, id);
         Invite out = it.out;
@@ -337,7 +364,7 @@
         if (out.leg != null) {
             out.leg.invites--;
             calledOff.put(it.setUp.call(), new Past(now, out.far, LegEndings.NORMAL));
-            actions.toLeg(out.leg.id, LegMessages.cancel(it.setUp.call(), it.setUp.number()));
+            actions.toLeg(out.leg.id, LegMessages.cancel(it.setUp.call(), out.sequence, it.setUp.number()));
         }
     }
 
@@ -472,14 +499,18 @@
         Standing call = standing.get(id);
         if (call != null && call.far == leg.far) {
             over(id, call, cause == 0 ? LegEndings.CUT : cause);
-        } else if (call == null && it == null) {
-            // Told before its set-up is, which comes again after a start.
-            released.put(id, new Past(now, leg.far, cause == 0 ? LegEndings.CUT : cause));
+        } else if (call == null && it == null && !released.containsKey(id) && !finished.containsKey(id)) {
+            // It stood before this start: its caller is told, also if its set-up comes again behind this.
+            int why = cause == 0 ? LegEndings.CUT : cause;
+            released.put(id, new Past(now, leg.far, why));
+            tally.passedOn++;
+            tell(0, CallerMessage.withCause(CallerMessage.RELEASE, id, why));
         }
     }
 
     private void over(long id, Standing call, int cause) {
         standing.remove(id);
+        finish(id);
         call.far.standing--;
         tally.over++;
         tally.cut += cause == LegEndings.NORMAL ? 0 : 1;
@@ -510,7 +541,7 @@
             spoilt(leg, "a description that cannot be read");
             return;
         }
-        actions.toLeg(leg.id, LegMessages.ack(id, it.setUp.number()));
+        actions.toLeg(leg.id, LegMessages.ack(id, it.out.sequence, it.setUp.number()));
         if (message.status() >= 300) {
             Outcomes.Outcome outcome = LegEndings.of(message);
             end(it, outcome.ending(), outcome.cause(), outcome.namedWait());
@@ -533,7 +564,7 @@
         if (message.status() < 300 && it == null && !standing.containsKey(id)) {
             Past past = calledOff.get(id);
             if (past != null && past.far == leg.far) {
-                actions.toLeg(leg.id, LegMessages.ack(id, LegMessages.callId(id)));
+                actions.toLeg(leg.id, LegMessages.ack(id, (int) Math.max(1, message.sequence()), LegMessages.callId(id)));
                 actions.toLeg(leg.id, LegMessages.bye(id, LegEndings.NORMAL));
             }
         }
@@ -548,8 +579,8 @@
         out.leg = leg;
         leg.invites++;
         tally.invites++;
-        actions.toLeg(leg.id, LegMessages.invite(it.setUp.call(), it.setUp.number(), it.setUp.service(), within,
-                it.setUp.description()));
+        actions.toLeg(leg.id, LegMessages.invite(it.setUp.call(), out.sequence, it.setUp.number(),
+                it.setUp.service(), within, it.setUp.description()));
     }
 
     /** An INVITE is over and did not stand: the module says what next. */
@@ -592,7 +623,7 @@
         // Nothing came on it since: what it is waiting for may be a message that was cut short.
         leg.spent |= leg.heardAt <= out.sentAt;
         calledOff.put(it.setUp.call(), new Past(now, leg.far, LegEndings.NORMAL));
-        actions.toLeg(leg.id, LegMessages.cancel(it.setUp.call(), it.setUp.number()));
+        actions.toLeg(leg.id, LegMessages.cancel(it.setUp.call(), out.sequence, it.setUp.number()));
         end(it, Ending.TIMED_OUT, Cause.NONE, 0);
     }
 
@@ -669,7 +700,7 @@
     public void send(Session session, long exchange, long allowance) {
         Held it = held.get(session.id());
         Far far = exchanges.byId(exchange);
-        Invite out = new Invite(far, now, now + allowance);
+        Invite out = new Invite(far, now, now + allowance, ++it.invites);
         it.out = out;
         Leg leg = exchanges.pick(far);
         if (leg != null) {
@@ -703,10 +734,15 @@
 
     private void answered(long id, CallerMessage message) {
         Held it = held.remove(id);
+        finish(id);
         it.caller.open.remove(id);
         toCaller(it.caller.id, message);
     }
 
+    private void finish(long id) {
+        finished.put(id, new Past(now, null, LegEndings.NORMAL));
+    }
+
     @Override
     public void subscribe() {
         // The list's poll runs all the time; there is nothing to start.
@@ -761,15 +797,33 @@
                 tally.callersClosed++;
                 closeCaller(caller);
             }
-            for (Caller caller : callers.tooMany(now)) {
-                tally.crowded++;
-                closeCaller(caller);
-            }
-            if (drainedSince > 0 && !ended && now - drainedSince > DRAIN_TAKES && held.isEmpty()
-                    && now - callerAt > DRAIN_QUIET) {
+            boolean quiet = held.isEmpty() && now - callerAt > DRAIN_QUIET;
+            if (drainedSince > 0 && drainEnds == 0 && now - drainedSince > DRAIN_TAKES && quiet) {
+                drainEnds = now;
+                actions.deaf();
+            } else if (drainEnds > 0 && !ended && now - drainEnds > DRAIN_QUIET && quiet) {
                 ended = true;
-                actions.end();
+                endsNow = true;
             }
+            callers.mark(now);
+        }
+    }
+
+    /**
+     * All that was read has been looked at. Only now may a connection close without a set-up being lost that was read and
+     * waited its turn; one that crosses the close is sent again by its caller.
+     */
+    public void caughtUp(long moment) {
+        at(moment);
+        for (Caller caller : callers.closable(now)) {
+            tally.callersClosed += caller.known ? 0 : 1;
+            tally.crowded += caller.known ? 1 : 0;
+            closeCaller(caller);
+        }
+        if (endsNow) {
+            endsNow = false;
+            callers.all().forEach(this::closeCaller);
+            actions.end();
         }
     }
 
--- a/src/main/java/coralcove/platform/Tally.java
+++ b/src/main/java/coralcove/platform/Tally.java
@@ -18,6 +18,7 @@
     long late;
     long callersClosed;
     long crowded;
+    long passedOn;
     private long stood;
     private long slowest;
     private long took;
@@ -39,7 +40,7 @@
                 + failed + " given-up " + givenUp + " invites " + invites + " over " + over + " cut " + cut
                 + " told-standing " + toldStanding + " unreadable " + unreadable + " unusable " + unusable + " spoilt "
                 + spoilt + " late " + late + " callers-closed " + callersClosed
-                + " crowded " + crowded);
+                + " crowded " + crowded + " passed-on " + passedOn);
         out.append(" set-up-ms ").append(stood == 0 ? 0 : took / stood / 1000).append('/').append(slowest / 1000);
         for (Ending ending : Ending.values()) {
             if (endings[ending.ordinal()] > 0) {
--- a/src/main/java/coralcove/platform/bulletin/BulletinPoll.java
+++ b/src/main/java/coralcove/platform/bulletin/BulletinPoll.java
@@ -31,6 +31,7 @@
     private final Listener listener;
     private volatile String address;
     private volatile boolean closed;
+    private volatile HttpURLConnection asked;
     private long last;
 
     public BulletinPoll(String address, long last, Listener listener) {
@@ -39,9 +40,15 @@
         this.listener = listener;
     }
 
-    /** From the next question on another address is asked; the numbers go on. */
+    /** From now on another address is asked: the question that waits at the old one is dropped. The numbers go on. */
     public void address(String now) {
-        address = now;
+        if (!now.equals(address)) {
+            address = now;
+            HttpURLConnection waiting = asked;
+            if (waiting != null) {
+                waiting.disconnect();
+            }
+        }
     }
 
     public void close() {
@@ -76,6 +83,7 @@
         HttpURLConnection http = (HttpURLConnection) uri.toURL().openConnection();
         http.setConnectTimeout(GRACE);
         http.setReadTimeout(PATIENCE + GRACE);
+        asked = http;
         boolean whole = false;
         try (InputStream in = http.getInputStream()) {
             if (http.getResponseCode() != HttpURLConnection.HTTP_OK) {
@@ -88,6 +96,7 @@
             whole = true;
             return body;
         } finally {
+            asked = null;
             if (!whole) {
                 http.disconnect();
             }
--- a/src/main/java/coralcove/platform/leg/LegMessages.java
+++ b/src/main/java/coralcove/platform/leg/LegMessages.java
@@ -13,7 +13,7 @@
         return HexFormat.of().toHexDigits(call);
     }
 
-    /** The call of a message, or -1 with {@code found} unset where its Call-ID is none of ours. */
+    /** The call of a message, or null where its Call-ID is none of ours. */
     public static Long call(SipMessage message) {
         String id = message.callId();
         if (id.length() != 16 || !id.chars().allMatch(HexFormat::isHexDigit)) {
@@ -23,22 +23,23 @@
     }
 
     /** Id, service, number and description as the caller sent them; {@code withinMs} is how long the answer is awaited. */
-    public static SipMessage invite(long call, String number, String service, long withinMs, byte[] description) {
-        SipMessage invite = request("INVITE", "sip:" + number + "@net", call, 1).add("Call-Kind", service)
+    public static SipMessage invite(long call, int sequence, String number, String service, long withinMs,
+            byte[] description) {
+        SipMessage invite = request("INVITE", "sip:" + number + "@net", call, sequence).add("Call-Kind", service)
                 .add("Answer-Within", Long.toString(withinMs));
         return invite.body("application/sdp", description);
     }
 
-    public static SipMessage ack(long call, String number) {
-        return request("ACK", "sip:" + number + "@net", call, 1);
+    public static SipMessage ack(long call, int sequence, String number) {
+        return request("ACK", "sip:" + number + "@net", call, sequence);
     }
 
-    public static SipMessage cancel(long call, String number) {
-        return request("CANCEL", "sip:" + number + "@net", call, 1);
+    public static SipMessage cancel(long call, int sequence, String number) {
+        return request("CANCEL", "sip:" + number + "@net", call, sequence);
     }
 
     public static SipMessage bye(long call, int cause) {
-        return request("BYE", "sip:" + callId(call) + "@net", call, 2).add("Reason", "Q.850;cause=" + cause);
+        return request("BYE", "sip:" + callId(call) + "@net", call, 100).add("Reason", "Q.850;cause=" + cause);
     }
 
     /** Asks for a report. */
--- a/src/main/java/coralcove/platform/live/Serve.java
+++ b/src/main/java/coralcove/platform/live/Serve.java
@@ -95,7 +95,6 @@
         log("serving", "", configuration.listen().toString());
         loop();
         poll.close();
-        streams.deaf();
         TimeUnit.MILLISECONDS.sleep(LAST_WRITES);
         streams.close();
         if (peers != null) {
@@ -114,6 +113,8 @@
             }
             if (input != null) {
                 guarded(input.act());
+            } else {
+                guarded(() -> core.caughtUp(clock()));
             }
             long now = clock();
             if (core.due() <= now) {
@@ -226,6 +227,11 @@
         log.line(clock(), event, session, detail);
     }
 
+    @Override
+    public void deaf() {
+        streams.deaf();
+    }
+
     @Override
     public void end() {
         over = true;
--- a/src/main/java/coralcove/platform/live/Streams.java
+++ b/src/main/java/coralcove/platform/live/Streams.java
@@ -59,6 +59,8 @@
         acceptor.setHandler(new CallerHandler());
         acceptor.setReuseAddress(true);
         acceptor.setBacklog(1024);
+        // Taking no further connection must not end those that are open.
+        acceptor.setCloseOnDeactivation(false);
         configure(acceptor.getSessionConfig());
         connector.setHandler(new LegHandler());
         connector.setConnectTimeoutMillis(connectMillis);
--- a/src/test/java/coralcove/platform/PlatformDesk.java
+++ b/src/test/java/coralcove/platform/PlatformDesk.java
@@ -12,7 +12,9 @@
 import coralcove.sip.SipMessage;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.SplittableRandom;
 
 /** Drives a RouterCore with the real module in virtual time, and prints what it does. Times are ms after the start. */
@@ -57,6 +59,7 @@
     final RouterCore core;
     /** Legs that were opened and not yet told up or down, and those that the core closed. */
     final List<Long> opening = new ArrayList<>();
+    final Map<Long, String> addresses = new HashMap<>();
     final List<Long> closedLegs = new ArrayList<>();
     final List<Long> closedCallers = new ArrayList<>();
     final List<String> messages = new ArrayList<>();
@@ -111,6 +114,7 @@
         while (core.due() <= until) {
             now = Math.max(now, core.due());
             core.tick(now);
+            core.caughtUp(now);
             core.rest();
         }
         now = until;
@@ -221,6 +225,7 @@
     @Override
     public void connect(long leg, String address) {
         opening.add(leg);
+        addresses.put(leg, address);
         note("  opens leg " + leg + " to " + address);
     }
 
@@ -247,6 +252,11 @@
         note("  log " + event + " " + detail);
     }
 
+    @Override
+    public void deaf() {
+        note("  takes no further connection");
+    }
+
     @Override
     public void end() {
         ended = true;
--- a/src/test/java/coralcove/platform/RouterCoreTest.java
+++ b/src/test/java/coralcove/platform/RouterCoreTest.java
@@ -214,6 +214,18 @@
         assertThat(small.closedCallers).doesNotContain(1L);
     }
 
+    @Test
+    void aSetUpThatWasReadBeforeACloseIsLookedAtFirst() {
+        // The router ran late: it lay in the queue as its connection was found silent, and went down with it.
+        desk.core.callerOpened(desk.now(), 9);
+        long late = desk.now() + 1_900_000;
+        desk.core.tick(late);
+        desk.core.callerRead(late, 9, desk.setUp(0x41, 1, 1500).bytes());
+        desk.core.caughtUp(late + 60_000);
+        assertThat(desk.closedCallers).isEmpty();
+        assertThat(count(" INVITE")).isEqualTo(1);
+    }
+
     @Test
     void anExchangeThatRefusesConnectionsAndHasNoneIsDeadAndItsCallsAreReleased() {
         stands(1, 0x51, 1);
@@ -301,6 +313,20 @@
         assertThat(count("caller 3 release 71 cause 16")).isEqualTo(1);
     }
 
+    @Test
+    void aReleaseOfACallFromBeforeTheStartIsPassedOnOnce() {
+        desk.core.callerOpened(desk.now(), 1);
+        desk.caller(1, CallerMessage.withCause(CallerMessage.TEST, 7, 0));
+        desk.leg(1, PlatformDesk.bye(0x75, 16));
+        desk.leg(3, PlatformDesk.bye(0x75, 16));
+        assertThat(count("caller 1 release 75 cause 16")).isEqualTo(1);
+        // One that this router ended itself is no news.
+        stands(1, 0x76, 1);
+        desk.leg(legOf(0x76), PlatformDesk.bye(0x76, 16));
+        desk.leg(3, PlatformDesk.bye(0x76, 16));
+        assertThat(count("caller 1 release 76")).isEqualTo(1);
+    }
+
     @Test
     void nothingNewGoesToADrainingExchangeAlsoWhatWaitedForALeg() {
         for (long leg : new long[] {1, 3}) {
@@ -327,7 +353,10 @@
         desk.caller(1, desk.setUp(0x93, 2, 1500));
         assertThat(desk.ended).isFalse();
         desk.leg(legOf(0x91), PlatformDesk.ok(0x91));
-        desk.to(1500);
+        desk.to(1480);
+        // Sent as the router was about to end: it was taken, so it is answered.
+        desk.caller(1, desk.setUp(0x94, 2, 1500));
+        desk.to(2000);
         desk.matches("platform-drain");
         assertThat(desk.ended).isTrue();
     }
@@ -385,10 +414,10 @@
     @Test
     void anInviteCarriesWhatTheCallerSent() {
         set(1, 0xaa, 1);
-        assertThat(LegMessages.invite(0xaa, "7f3a9c21e0b4d655", "lookup", 1499,
+        assertThat(LegMessages.invite(0xaa, 3, "7f3a9c21e0b4d655", "lookup", 1499,
                 PlatformDesk.SDP.getBytes(java.nio.charset.StandardCharsets.US_ASCII)).bytes()).asString()
                 .isEqualTo("INVITE sip:7f3a9c21e0b4d655@net SIP/2.0\r\nVia: SIP/2.0/TCP router\r\n"
-                        + "Call-ID: 00000000000000aa\r\nCSeq: 1 INVITE\r\nCall-Kind: lookup\r\nAnswer-Within: 1499\r\n"
+                        + "Call-ID: 00000000000000aa\r\nCSeq: 3 INVITE\r\nCall-Kind: lookup\r\nAnswer-Within: 1499\r\n"
                         + "Content-Type: application/sdp\r\nContent-Length: 68\r\n\r\n" + PlatformDesk.SDP);
     }
 }
