Tell releases to callers that are known to hear, and keep descriptors when strangers come by hundreds

Checked: callers say to have heard each release (counted: heard = refused + over on calm routers, 6 and 16 short here); each unheard one was logged with its connection (since undone): all on connections that had just come, tested once, heard nothing ever. Callers.forNews took the connection that sent something last. Ruled out: late BYEs, connections that closed. Descriptors: the acceptor takes hundreds before the core closes any; without one MINA's acceptor sleeps 1 s.

Now news goes to a connection that has heard before, and again if its connection closes, or is not known to hear and did not within 0.3 s. BoundedProcessor holds the acceptor at 0.7 of the descriptors; near it the oldest without use go at once.

--- a/src/main/java/coralcove/platform/Callers.java
+++ b/src/main/java/coralcove/platform/Callers.java
@@ -1,6 +1,7 @@
 package coralcove.platform;
 
 import coralcove.platform.caller.CallerFramer;
+import coralcove.platform.caller.CallerMessage;
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.LinkedHashMap;
@@ -19,16 +20,25 @@
     private static final long SETTLED = 500_000;
     /** µs from the mark to the close: what was read until then is looked at first. */
     private static final long MARKED = 50_000;
-    /** Share of the descriptors for callers' connections: a third is theirs, as much again may be strangers. */
-    private static final double SHARE = 0.6;
+    /** µs in which a first message comes even so. */
+    private static final long JUST_CAME = 60_000;
+    /** µs after which one that has sent nothing is a stranger: callers send as they connect. */
+    private static final long YOUNG = 150_000;
+    /** Share of the descriptors for all callers' connections, and for those of use: a third is the callers' own. */
+    private static final double SHARE = 0.55;
+    private static final double KNOWN_SHARE = 0.42;
 
     static final class Caller {
         final long id;
         final long openedAt;
         final CallerFramer framer = new CallerFramer();
         final Set<Long> open = new LinkedHashSet<>();
+        /** Releases of calls that stood, told on this connection and not yet said to be heard. */
+        final Map<Long, CallerMessage> unheard = new LinkedHashMap<>();
         /** Has sent something that can be used; only such a connection is given news of calls. */
         boolean known;
+        /** Has said to have heard a release: news told on it is heard again. */
+        boolean hearing;
         long partialSince;
         /** When it last sent something, or was opened. */
         long readAt;
@@ -41,13 +51,16 @@
     }
 
     private final int most;
+    private final int mostKnown;
     private final Map<Long, Caller> callers = new LinkedHashMap<>();
     private final LinkedHashSet<Long> known = new LinkedHashSet<>();
+    private final LinkedHashSet<Long> hearing = new LinkedHashSet<>();
     /** Connections marked for closing, and when. */
     private final Map<Long, Long> doomed = new LinkedHashMap<>();
 
     Callers(int descriptors) {
         most = (int) (SHARE * descriptors);
+        mostKnown = (int) (KNOWN_SHARE * descriptors);
     }
 
     Caller get(long id) {
@@ -64,6 +77,7 @@
 
     Caller closed(long id) {
         known.remove(id);
+        hearing.remove(id);
         return callers.remove(id);
     }
 
@@ -73,32 +87,68 @@
         known.add(caller.id);
     }
 
-    /** The connection of a call's set-up if it is still open, else the one that sent something last; null for none. */
+    /** It said to have heard a release. */
+    void heard(Caller caller) {
+        caller.hearing = true;
+        hearing.remove(caller.id);
+        hearing.add(caller.id);
+    }
+
+    /**
+     * The connection of a call's set-up if it is still open, else the last that said to have heard a release, else the last
+     * that sent something; null for none. Strangers that test by hundreds and stay hear nothing.
+     */
     Caller forNews(long first) {
         Caller own = callers.get(first);
-        if (own != null) {
-            return own;
-        }
+        return own != null ? own : last(hearing.isEmpty() ? known : hearing);
+    }
+
+    private Caller last(LinkedHashSet<Long> ids) {
         Long last = null;
-        for (Long id : known) {
+        for (Long id : ids) {
             last = id;
         }
         return last == null ? null : callers.get(last);
     }
 
     /**
-     * Those to close while too many are open: the oldest that never said anything of use, then those with nothing open that
-     * were silent longest. One that is young, or has just sent something, may have a set-up on its way: closing it would
-     * lose a session that was taken.
+     * Those to close while too many are open: the oldest that never said anything of use, and of those that did no more than
+     * are over their own share, longest silent first. Strangers that connect by hundreds must not push callers out: what
+     * ends a call needs one of their connections.
      */
     private List<Caller> tooMany(long now) {
         int over = callers.size() - most;
         if (over <= 0) {
             return List.of();
         }
-        return callers.values().stream().filter(each -> each.open.isEmpty() && now - each.readAt > SETTLED)
-                .sorted(Comparator.<Caller, Boolean>comparing(each -> each.known).thenComparing(each -> each.readAt))
-                .limit(over).toList();
+        List<Caller> found = new ArrayList<>();
+        for (Caller caller : callers.values()) {
+            if (found.size() < over && !caller.known && caller.open.isEmpty() && now - caller.openedAt > YOUNG) {
+                found.add(caller);
+            }
+        }
+        callers.values().stream().filter(each -> each.known && each.open.isEmpty() && now - each.readAt > SETTLED)
+                .sorted(Comparator.<Caller, Boolean>comparing(each -> each.hearing).thenComparing(each -> each.readAt))
+                .limit(Math.max(0, Math.min(over - found.size(), known.size() - mostKnown))).forEach(found::add);
+        return found;
+    }
+
+    /** The oldest that never heard of a call, or, past their share, what was silent longest; two at most. */
+    List<Caller> idlest(long now) {
+        List<Caller> found = new ArrayList<>();
+        for (Caller caller : callers.values()) {
+            if (found.size() < 2 && !caller.hearing && caller.open.isEmpty() && now - caller.readAt > JUST_CAME) {
+                found.add(caller);
+            }
+        }
+        // In the order of the last that was of use: the first is idle longest. A third of the descriptors are callers' own.
+        for (Long id : known.size() > mostKnown ? known : Set.<Long>of()) {
+            Caller caller = callers.get(id);
+            if (found.size() < 2 && caller.open.isEmpty() && now - caller.readAt > YOUNG) {
+                found.add(caller);
+            }
+        }
+        return found;
     }
 
     /** Those whose message does not end. */
--- a/src/main/java/coralcove/platform/RouterCore.java
+++ b/src/main/java/coralcove/platform/RouterCore.java
@@ -58,6 +58,10 @@
     private static final long REMEMBERED = 12_000_000;
     /** Set-ups that cannot be used, of which each is logged; from then on they are only counted. */
     private static final int MOST_TOLD = 20;
+    /** µs after which a release that was not heard is told elsewhere: two fit into the second that is given. */
+    private static final long UNHEARD = 300_000;
+    /** Releases on one connection that its caller has not said to have heard, at most; it may say nothing. */
+    private static final int MOST_UNHEARD = 100;
     /** Releases that wait for a caller's connection at most. */
     private static final int MOST_WAITING = 10_000;
 
@@ -204,11 +208,21 @@
         return found;
     }
 
+    /** One more has come near the bound of connections: two of no use go for it, so that callers are not kept waiting. */
+    public void crowded(long stamp) {
+        at(stamp);
+        for (Caller caller : callers.idlest(now)) {
+            tally.crowded++;
+            closeCaller(caller);
+        }
+    }
+
     public void callerClosed(long stamp, long id) {
         at(stamp);
         Caller caller = callers.closed(id);
         if (caller != null) {
             List.copyOf(caller.open).forEach(this::giveUp);
+            caller.unheard.values().forEach(each -> tell(0, each));
         }
     }
 
@@ -216,6 +230,7 @@
         callers.closed(caller.id);
         List.copyOf(caller.open).forEach(this::giveUp);
         actions.closeCaller(caller.id);
+        caller.unheard.values().forEach(each -> tell(0, each));
     }
 
     private void message(long stamp, Caller caller, CallerMessage message) {
@@ -228,7 +243,12 @@
                 actions.toCaller(caller.id, CallerMessage.withCause(CallerMessage.TEST_ANSWER, message.call(),
                         good ? 1 : 0));
             }
-            case CallerMessage.RELEASE_HEARD, CallerMessage.PROGRESS -> { }
+            case CallerMessage.RELEASE_HEARD -> {
+                tally.heard++;
+                callers.heard(caller);
+                caller.unheard.remove(message.call());
+            }
+            case CallerMessage.PROGRESS -> { }
             default -> {
                 tally.unreadable++;
                 closeCaller(caller);
@@ -376,16 +396,37 @@
         actions.toCaller(caller, message);
     }
 
-    /** News of a call that stood goes on the connection of its set-up, or another, or waits for one. */
+    /**
+     * News of a call that stood goes on the connection of its set-up, or another, or waits for one. Callers say that they
+     * heard it; if that connection closes before they do, it is told again on another.
+     */
     private void tell(long caller, CallerMessage message) {
         Caller to = callers.forNews(caller);
         if (to != null) {
+            to.unheard.put(message.call(), message);
+            if (to.unheard.size() > MOST_UNHEARD) {
+                to.unheard.remove(to.unheard.keySet().iterator().next());
+            }
             actions.toCaller(to.id, message);
+            if (!to.hearing) {
+                timer(now + UNHEARD, moment -> again(to, message));
+            }
         } else if (waiting.size() < MOST_WAITING) {
             waiting.add(message);
         }
     }
 
+    /** Told to one that was never known to hear, and not heard: told again to one that does. */
+    private void again(Caller to, CallerMessage message) {
+        if (callers.get(to.id) == to && !to.hearing && to.unheard.containsKey(message.call())) {
+            Caller other = callers.forNews(0);
+            if (other != null && other.hearing) {
+                to.unheard.remove(message.call());
+                tell(0, message);
+            }
+        }
+    }
+
     private void flushWaiting() {
         if (!waiting.isEmpty()) {
             List<CallerMessage> all = List.copyOf(waiting);
--- a/src/main/java/coralcove/platform/Tally.java
+++ b/src/main/java/coralcove/platform/Tally.java
@@ -19,6 +19,7 @@
     long callersClosed;
     long crowded;
     long passedOn;
+    long heard;
     private long stood;
     private long slowest;
     private long took;
@@ -40,7 +41,8 @@
                 + failed + " given-up " + givenUp + " invites " + invites + " over " + over + " cut " + cut
                 + " told-standing " + toldStanding + " unreadable " + unreadable + " unusable " + unusable + " spoilt "
                 + spoilt + " late " + late + " callers-closed " + callersClosed
-                + " crowded " + crowded + " passed-on " + passedOn);
+                + " crowded " + crowded + " passed-on " + passedOn
+                + " heard " + heard);
         out.append(" set-up-ms ").append(stood == 0 ? 0 : took / stood / 1000).append('/').append(slowest / 1000);
         for (Ending ending : Ending.values()) {
             if (endings[ending.ordinal()] > 0) {
--- a/src/main/java/coralcove/platform/live/Serve.java
+++ b/src/main/java/coralcove/platform/live/Serve.java
@@ -21,6 +21,8 @@
     private static final long COUNTS = 5_000_000;
     /** Inputs taken between two looks at the timers. */
     private static final int BATCH = 64;
+    /** Share of the descriptors from which no further caller's connection is taken until one is free; the core closes before. */
+    private static final double CALLERS_SHARE = 0.7;
     /** Milliseconds after the last answer in which what was written goes out. */
     private static final int LAST_WRITES = 100;
     private static final long STARTED = System.currentTimeMillis() * 1000 - System.nanoTime() / 1000;
@@ -42,7 +44,8 @@
         log = new LogLines(configuration.name(), System.err);
         core = new RouterCore(clock(), configuration.settings(),
                 new Choice(configuration.settings().module(), new SplittableRandom(configuration.seed())), this);
-        streams = new Streams(Math.max(1, configuration.settings().connectTimeout() / 1000), Serve::clock, this);
+        streams = new Streams(Math.max(1, configuration.settings().connectTimeout() / 1000),
+                (int) (CALLERS_SHARE * configuration.settings().descriptors()), Serve::clock, this);
         peers = configuration.peerListen() == null ? null : new Peers(configuration.peerListen(), configuration.peers(),
                 configuration.peersAll(), (rank, bytes) -> {
                     long stamp = clock();
@@ -169,6 +172,12 @@
         inputs.caller(0, () -> core.callerClosed(stamp, caller));
     }
 
+    @Override
+    public void crowded() {
+        // Behind all that was read before: no set-up among it goes down with its connection.
+        inputs.caller(0, () -> core.crowded(clock()));
+    }
+
     @Override
     public void legUp(long leg) {
         long stamp = clock();
--- a/src/main/java/coralcove/platform/live/Streams.java
+++ b/src/main/java/coralcove/platform/live/Streams.java
@@ -36,6 +36,9 @@
 
         void closed(long caller);
 
+        /** One more has come near the bound: some should go. */
+        void crowded();
+
         void legUp(long leg);
 
         void legRead(long leg, long stamp, byte[] bytes);
@@ -45,7 +48,8 @@
 
     private final Listener listener;
     private final LongSupplier clock;
-    private final NioSocketAcceptor acceptor = new NioSocketAcceptor(1);
+    private final BoundedProcessor processor;
+    private final NioSocketAcceptor acceptor;
     private final NioSocketConnector connector = new NioSocketConnector(1);
     private final Map<Long, IoSession> callers = new ConcurrentHashMap<>();
     private final Map<Long, IoSession> legs = new ConcurrentHashMap<>();
@@ -53,7 +57,9 @@
     private final AtomicLong lastCaller = new AtomicLong();
     private volatile boolean closed;
 
-    Streams(long connectMillis, LongSupplier clock, Listener listener) {
+    Streams(long connectMillis, int mostCallers, LongSupplier clock, Listener listener) {
+        processor = new BoundedProcessor(mostCallers, listener::crowded);
+        acceptor = new NioSocketAcceptor(processor);
         this.listener = listener;
         this.clock = clock;
         acceptor.setHandler(new CallerHandler());
@@ -143,6 +149,7 @@
     public void close() {
         closed = true;
         acceptor.dispose(false);
+        processor.dispose();
         connector.dispose(false);
     }
 
@@ -164,6 +171,7 @@
         public void sessionClosed(IoSession session) {
             Long id = (Long) session.getAttribute(ID);
             callers.remove(id);
+            processor.freed();
             listener.closed(id);
         }
 
--- a/src/test/java/coralcove/platform/RouterCoreTest.java
+++ b/src/test/java/coralcove/platform/RouterCoreTest.java
@@ -198,20 +198,61 @@
     }
 
     @Test
-    void strangersMakeRoomForCallersAndWhoJustCameIsLeftAlone() {
-        // Closed as it was accepted, the oldest took a set-up with it that was read and not looked at yet.
+    void strangersByHundredsPushNoCallerOut() {
+        // They did: a call's release then found no connection of the callers' for more than a second.
         PlatformDesk small = new PlatformDesk(100);
         small.quiet = true;
-        for (long id = 1; id <= 400; id++) {
+        for (long id = 1; id <= 40; id++) {
             small.core.callerOpened(small.now(), id);
+            small.core.callerRead(small.now(), id, CallerMessage.withCause(CallerMessage.TEST, 7, 0).bytes());
         }
+        small.to(600);
+        for (long id = 41; id <= 400; id++) {
+            small.core.callerOpened(small.now(), id);
+        }
+        small.to(700);
+        // Who just came may have a set-up on its way.
         assertThat(small.closedCallers).isEmpty();
-        small.to(400);
+        small.to(900);
+        assertThat(400 - small.closedCallers.size()).isEqualTo(55);
+        assertThat(small.closedCallers).allMatch(id -> id > 40);
+    }
+
+    @Test
+    void callersThatKeepTheirConnectionsMakeRoomLongestSilentFirst() {
+        PlatformDesk small = new PlatformDesk(100);
+        small.quiet = true;
+        for (long id = 1; id <= 100; id++) {
+            small.core.callerOpened(small.now(), id);
+            small.core.callerRead(small.now(), id, CallerMessage.withCause(CallerMessage.TEST, 7, 0).bytes());
+            small.to(10 * id);
+        }
+        small.to(3000);
+        assertThat(100 - small.closedCallers.size()).isBetween(42, 55);
+        assertThat(small.closedCallers).allMatch(id -> id <= 58);
+    }
+
+    @Test
+    void nearTheBoundTwoOfNoUseGoForEachThatComes() {
+        PlatformDesk small = new PlatformDesk(100);
+        small.quiet = true;
+        for (long id = 1; id <= 4; id++) {
+            small.core.callerOpened(small.now(), id);
+            small.core.callerRead(small.now(), id, CallerMessage.withCause(CallerMessage.TEST, 7, 0).bytes());
+            small.core.callerRead(small.now(), id, CallerMessage.of(CallerMessage.RELEASE_HEARD, 7).bytes());
+        }
+        for (long id = 5; id <= 7; id++) {
+            small.core.callerOpened(small.now(), id);
+        }
+        small.core.crowded(small.now());
         assertThat(small.closedCallers).isEmpty();
-        small.core.callerRead(small.now(), 1, CallerMessage.withCause(CallerMessage.TEST, 7, 0).bytes());
-        small.to(700);
-        assertThat(400 - small.closedCallers.size()).isEqualTo(60);
-        assertThat(small.closedCallers).doesNotContain(1L);
+        small.to(200);
+        small.core.callerRead(small.now(), 1, CallerMessage.withCause(CallerMessage.TEST, 8, 0).bytes());
+        small.core.crowded(small.now());
+        assertThat(small.closedCallers).containsExactly(5L, 6L);
+        // Callers' own connections stay while they are no more than their share.
+        small.core.crowded(small.now());
+        assertThat(small.closedCallers).containsExactly(5L, 6L, 7L);
     }
 
     @Test
@@ -313,6 +354,44 @@
         assertThat(count("caller 3 release 71 cause 16")).isEqualTo(1);
     }
 
+    @Test
+    void aReleaseThatWasNotHeardIsToldAgainWhenItsConnectionCloses() {
+        desk.core.callerOpened(desk.now(), 5);
+        desk.caller(5, CallerMessage.withCause(CallerMessage.TEST, 7, 0));
+        stands(1, 0x77, 1);
+        stands(1, 0x78, 1);
+        desk.leg(1, PlatformDesk.bye(0x77, 16));
+        desk.leg(1, PlatformDesk.bye(0x78, 16));
+        desk.caller(1, CallerMessage.of(CallerMessage.RELEASE_HEARD, 0x78));
+        desk.core.callerClosed(desk.now(), 1);
+        assertThat(count("caller 5 release 77 cause 16")).isEqualTo(1);
+        assertThat(count("caller 5 release 78")).isZero();
+    }
+
+    @Test
+    void newsGoesToWhoIsKnownToHearAndNotToStrangersThatTestAndStay() {
+        // Releases went on the connection that sent something last, a stranger's, and no caller heard of them.
+        desk.core.callerOpened(desk.now(), 4);
+        desk.caller(4, CallerMessage.of(CallerMessage.RELEASE_HEARD, 0x1));
+        stands(1, 0x79, 1);
+        for (long id = 5; id <= 9; id++) {
+            desk.core.callerOpened(desk.now(), id);
+            desk.caller(id, CallerMessage.withCause(CallerMessage.TEST, 7, 0));
+        }
+        desk.core.callerClosed(desk.now(), 1);
+        desk.leg(legOf(0x79), PlatformDesk.bye(0x79, 16));
+        assertThat(count("caller 4 release 79")).isEqualTo(1);
+        // With nobody known to hear, the last that sent something is told, and who turns out to hear soon after.
+        stands(2, 0x7a, 1);
+        desk.core.callerClosed(desk.now(), 2);
+        desk.core.callerClosed(desk.now(), 4);
+        desk.leg(legOf(0x7a), PlatformDesk.bye(0x7a, 16));
+        assertThat(count("caller 9 release 7a")).isEqualTo(1);
+        desk.caller(6, CallerMessage.of(CallerMessage.RELEASE_HEARD, 0x1));
+        desk.to(400);
+        assertThat(count("caller 6 release 7a")).isEqualTo(1);
+    }
+
     @Test
     void aReleaseOfACallFromBeforeTheStartIsPassedOnOnce() {
         desk.core.callerOpened(desk.now(), 1);
