--- a/src/main/java/coralcove/platform/live/Streams.java
+++ b/src/main/java/coralcove/platform/live/Streams.java
@@ -140,9 +140,14 @@
         }
     }
 
-    /** Takes no further connection; those that are open go on. */
+    /**
+     * Takes no further connection; those that are open go on. Not awaited: the acceptor may be waiting at its bound, for the
+     * core to close connections, and the core must not wait for it.
+     */
     void deaf() {
-        acceptor.unbind();
+        Thread thread = new Thread(acceptor::unbind, "unbind");
+        thread.setDaemon(true);
+        thread.start();
     }
 
     @Override
--- a/src/test/java/coralcove/platform/live/StreamsTest.java
+++ b/src/test/java/coralcove/platform/live/StreamsTest.java
@@ -90,6 +90,32 @@
         }
     }
 
+    @Test
+    void whoClosesConnectionsNeverWaitsForAnAcceptorAtItsBound() throws Exception {
+        // A router that ends stops listening; its acceptor waited for the core to close connections, and the core for it.
+        InetAddress here = InetAddress.getLoopbackAddress();
+        int port;
+        try (ServerSocket free = new ServerSocket(0, 1, here)) {
+            port = free.getLocalPort();
+        }
+        List<Socket> sockets = new ArrayList<>();
+        try (Streams streams = new Streams(500, 2, Serve::clock, new Ears())) {
+            streams.listen(new InetSocketAddress(here, port));
+            for (int i = 0; i < 10; i++) {
+                sockets.add(new Socket(here, port));
+            }
+            Long first = opened.poll(10, TimeUnit.SECONDS);
+            assertThat(opened.poll(10, TimeUnit.SECONDS)).isNotNull();
+            org.junit.jupiter.api.Assertions.assertTimeoutPreemptively(java.time.Duration.ofSeconds(20), streams::deaf);
+            streams.closeCaller(first);
+            assertThat(legs.poll(10, TimeUnit.SECONDS)).isEqualTo("closed");
+        } finally {
+            for (Socket socket : sockets) {
+                socket.close();
+            }
+        }
+    }
+
     @Test
     void aLegThatIsRefusedOrBreaksIsToldAsSuch() throws Exception {
         InetAddress here = InetAddress.getLoopbackAddress();
