Let the test of sources pass whichever source answers first

Checked: alone it passes; the ids of machines that only DNS tells are counted as they come, and whether number 1 takes one hangs on whether the directory's list is in by then. Nothing of the program changed there; the test held the order of two threads' answers. It now holds that the id is one of DNS's.

--- a/src/test/java/coralcove/cli/SourcesCommandTest.java
+++ b/src/test/java/coralcove/cli/SourcesCommandTest.java
@@ -58,13 +58,15 @@
             System.setOut(out);
         }
         assertThat(bytes.toString(StandardCharsets.UTF_8).replace(Integer.toString(directory), "DIRECTORY")
-                .replace(Integer.toString(dead), "DEAD")).isEqualTo("""
+                .replace(Integer.toString(dead), "DEAD")
+                // The directory's list may come before or after DNS's word on number 1, which takes an id of its own.
+                .replaceAll("is -[12] READY", "is -N READY")).isEqualTo("""
                 udp:127.0.0.1:DIRECTORY says
                   101 number 1 READY start 7 sign 1 at udp:127.0.0.1:5061
                 udp:127.0.0.1:DEAD says nothing
                 believed
                   number 1 is 101 READY at udp:127.0.0.1:5061: LISTED
-                  number 2 is -2 READY at udp:127.0.0.1:5062: DNS_ONLY
+                  number 2 is -N READY at udp:127.0.0.1:5062: DNS_ONLY
                 """);
     }
 
