Say once how a closed caller is left and an INVITE called off, and drop code nobody ran

Read again: callerClosed and closeCaller each gave up and told again (now leave); giveUp and timedOut each remembered and sent the CANCEL (now cancel); Exchanges.stop and its flag had no caller, the lesser of two message bounds was always the same one, RouterCore.toCaller only passed on, and legDown looked through the legs where Far.anyUp does.

--- a/src/main/java/coralcove/platform/Exchanges.java
+++ b/src/main/java/coralcove/platform/Exchanges.java
@@ -3,7 +3,6 @@
 import coralcove.Exchange;
 import coralcove.Exchange.Phase;
 import coralcove.platform.bulletin.Bulletin;
-import coralcove.sip.SipParser;
 import coralcove.sip.StreamFramer;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
@@ -41,7 +40,7 @@
         final long id;
         final Far far;
         final long openedAt;
-        final StreamFramer framer = new StreamFramer(Math.min(MOST_BYTES, SipParser.MOST_BYTES));
+        final StreamFramer framer = new StreamFramer(MOST_BYTES);
         boolean up;
         /** Of no use for new INVITEs: one on it was not answered, or a message on it does not end. */
         boolean spent;
@@ -104,7 +103,6 @@
     private final Map<Long, Leg> legs = new LinkedHashMap<>();
     private long lastId;
     private long lastLeg;
-    private boolean stopped;
 
     Exchanges(int ownNumber, Actions actions, Listener listener) {
         this.ownNumber = ownNumber;
@@ -237,7 +235,7 @@
     }
 
     private void connect(long now, Far far) {
-        if (stopped || far.address == null) {
+        if (far.address == null) {
             return;
         }
         Leg leg = new Leg(++lastLeg, far, now);
@@ -301,11 +299,6 @@
         leg.far.againAt = Math.min(leg.far.againAt, now);
     }
 
-    /** No new legs from now on: the program ends. */
-    void stop() {
-        stopped = true;
-    }
-
     /** Whether each exchange in service was reached, or was tried and did not answer. */
     boolean allTried() {
         return byName.values().stream().noneMatch(far -> wanted(far) && !far.reached
--- a/src/main/java/coralcove/platform/RouterCore.java
+++ b/src/main/java/coralcove/platform/RouterCore.java
@@ -221,15 +221,19 @@
         at(stamp);
         Caller caller = callers.closed(id);
         if (caller != null) {
-            List.copyOf(caller.open).forEach(this::giveUp);
-            caller.unheard.values().forEach(each -> tell(0, each));
+            leave(caller);
         }
     }
 
     private void closeCaller(Caller caller) {
         callers.closed(caller.id);
-        List.copyOf(caller.open).forEach(this::giveUp);
         actions.closeCaller(caller.id);
+        leave(caller);
+    }
+
+    /** Its connection is gone: what was open on it is given up, what was told on it and not heard is told elsewhere. */
+    private void leave(Caller caller) {
+        List.copyOf(caller.open).forEach(this::giveUp);
         caller.unheard.values().forEach(each -> tell(0, each));
     }
 
@@ -373,27 +377,23 @@
         inHand.left(now, id);
         Invite out = it.out;
         if (out != null) {
-            cancel(it);
+            it.out = null;
+            if (out.leg != null) {
+                out.leg.invites--;
+                cancel(it, out);
+            }
             inHand.ended(now, id, Ending.CANCELLED, Cause.NONE, out.far.id, now - out.sentAt, 0, true);
         }
     }
 
-    private void cancel(Held it) {
-        Invite out = it.out;
-        it.out = null;
-        if (out.leg != null) {
-            out.leg.invites--;
-            calledOff.put(it.setUp.call(), new Past(now, out.far, LegEndings.NORMAL));
-            actions.toLeg(out.leg.id, LegMessages.cancel(it.setUp.call(), out.sequence, it.setUp.number()));
-        }
+    /** An answer to it may be on its way. */
+    private void cancel(Held it, Invite out) {
+        calledOff.put(it.setUp.call(), new Past(now, out.far, LegEndings.NORMAL));
+        actions.toLeg(out.leg.id, LegMessages.cancel(it.setUp.call(), out.sequence, it.setUp.number()));
     }
 
     private void release(Caller caller, long id, int cause) {
-        toCaller(caller.id, CallerMessage.withCause(CallerMessage.RELEASE, id, cause));
-    }
-
-    private void toCaller(long caller, CallerMessage message) {
-        actions.toCaller(caller, message);
+        actions.toCaller(caller.id, CallerMessage.withCause(CallerMessage.RELEASE, id, cause));
     }
 
     /**
@@ -461,7 +461,7 @@
         }
         exchanges.down(now, leg, how);
         reset(leg);
-        if (how != Down.BROKEN && leg.far.legs.stream().noneMatch(each -> each.up)) {
+        if (how != Down.BROKEN && !leg.far.anyUp()) {
             unreachable(leg.far);
         }
     }
@@ -594,7 +594,7 @@
         standing.put(id, new Standing(leg.far, it.caller.id, now));
         leg.far.standing++;
         tally.stood(stamp - it.out.sentAt);
-        toCaller(it.caller.id, CallerMessage.of(CallerMessage.ANSWER, id)
+        actions.toCaller(it.caller.id, CallerMessage.of(CallerMessage.ANSWER, id)
                 .add(CallerMessage.DESCRIPTION, message.body()));
         inHand.stands(now, id, leg.far.id, Math.max(0, stamp - it.out.sentAt));
     }
@@ -663,8 +663,7 @@
         Leg leg = out.leg;
         // Nothing came on it since: what it is waiting for may be a message that was cut short.
         leg.spent |= leg.heardAt <= out.sentAt;
-        calledOff.put(it.setUp.call(), new Past(now, leg.far, LegEndings.NORMAL));
-        actions.toLeg(leg.id, LegMessages.cancel(it.setUp.call(), out.sequence, it.setUp.number()));
+        cancel(it, out);
         end(it, Ending.TIMED_OUT, Cause.NONE, 0);
     }
 
@@ -777,7 +776,7 @@
         Held it = held.remove(id);
         finish(id);
         it.caller.open.remove(id);
-        toCaller(it.caller.id, message);
+        actions.toCaller(it.caller.id, message);
     }
 
     private void finish(long id) {
