Find a draining exchange that hangs, ask the list before serving, look at who left before INVITEs

"l-down 349 REFUSED" counted as a sign of life (Exchanges.down, far.heardAt = now), so the calls were released 3 s after "gone" was told, at 28.5 s: 9 to 10 s after their ends. Ruled out: news that was told and not heard (each release was heard in 10 ms), a BYE that was read and not passed on (none came).

Change: - An exchange's message alone is a sign of life. One whose calls stand and that says nothing for 2 s is tested by OPTIONS on its legs where the settings allow tests, and after 3.5 s by a further leg; after 6.5 s its calls are over, and BYEs go out. Legs are no longer tried for exchanges without calls; those from before a new start are closed. - A router is ready once the bulletin answered, or failed; the first question waits for nothing. - BulletinPoll asks over a connection of its own: the JDK's client counted its limit per read and put a dropped question to the old address again. After a failure it asks without patience and at most 0.2 s apart. - Set-ups wait undecided, and INVITEs unwritten, until all that was read has been looked at: who left causes none. - A drained router ends once its news was heard, legs first: a BYE that comes then is found undelivered. - Choice keeps no exchange that takes nothing more.

--- a/src/main/java/coralcove/Choice.java
+++ b/src/main/java/coralcove/Choice.java
@@ -439,9 +439,7 @@
     @Override
     public void roster(long now, boolean whole, List<Exchange> list) {
         begin(now);
-        if (whole) {
-            exchanges.values().forEach(far -> far.ready = false);
-        }
+        exchanges.values().forEach(far -> far.ready &= !whole);
         for (Exchange each : list) {
             Group group = groups.computeIfAbsent(each.number(), n -> new Group(n, services));
             Far far = exchanges.computeIfAbsent(each.id(),
@@ -453,6 +451,8 @@
                 far.window = FRESH_WINDOW;
             }
         }
+        // Exchanges are replaced under new ids all day: those that take nothing more are not kept.
+        exchanges.values().removeIf(far -> !far.ready && far.settingUp == 0);
         groups.values().forEach(group -> group.serving = null);
         for (Far far : exchanges.values()) {
             Far other = far.group.serving;
--- a/src/main/java/coralcove/boot/Boot.java
+++ b/src/main/java/coralcove/boot/Boot.java
@@ -92,7 +92,7 @@
         return value == null || value.isEmpty() ? otherwise : value;
     }
 
-    private boolean flag(String path) {
+    public boolean flag(String path) {
         return get(path, "false").equals("true");
     }
 
--- a/src/main/java/coralcove/platform/Exchanges.java
+++ b/src/main/java/coralcove/platform/Exchanges.java
@@ -3,6 +3,7 @@
 import coralcove.Exchange;
 import coralcove.Exchange.Phase;
 import coralcove.platform.bulletin.Bulletin;
+import coralcove.platform.leg.LegMessages;
 import coralcove.sip.StreamFramer;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
@@ -19,10 +20,20 @@
     /** µs between two tries of an exchange that is not reached, doubling up to the longest. */
     private static final long AGAIN_FIRST = 100_000;
     private static final long AGAIN_LONGEST = 800_000;
-    /** µs without a sign of life after which a further leg is tried: a new one brings a report first. */
+    /** µs without a message after which one whose calls stand is asked for a sign of life: by a test, or by a further leg. */
     private static final long QUIET = 2_000_000;
+    /** µs after which a further leg is tried though tests are out, two by then: a new one brings a report first. */
+    private static final long UNANSWERED = 3_500_000;
     /** µs without a sign of life, and without a leg that comes up, after which an exchange is dead. */
     private static final long DEAD = 4_500_000;
+    /**
+     * µs without a message after which the calls of an exchange are over, whatever its connections do: it hangs, or its
+     * process drained and is gone. A call's end has to be told within 8 s of it and may be as old as the last message; the
+     * rest is for the news to be heard.
+     */
+    private static final long MUTE = 6_500_000;
+    /** µs between two tests put to one that says nothing. */
+    private static final long TEST_AGAIN = 1_000_000;
     /** Tries in a row that did not come up, from which that is no chance. */
     private static final int SILENCES = 2;
     /** µs after an exchange is told gone in which its legs still may say something. */
@@ -65,6 +76,8 @@
         final List<Leg> legs = new ArrayList<>();
         long heardAt;
         long triedAt;
+        long testedAt;
+        int tests;
         long againAt;
         long wait = AGAIN_FIRST;
         int refusals;
@@ -98,14 +111,18 @@
     private final Actions actions;
     private final Listener listener;
     private final int ownNumber;
+    private final boolean mayTest;
     private final Map<String, Far> byName = new LinkedHashMap<>();
     private final Map<Long, Far> byId = new LinkedHashMap<>();
     private final Map<Long, Leg> legs = new LinkedHashMap<>();
     private long lastId;
     private long lastLeg;
+    private long lastTest;
+    private boolean ended;
 
-    Exchanges(int ownNumber, Actions actions, Listener listener) {
+    Exchanges(int ownNumber, boolean mayTest, Actions actions, Listener listener) {
         this.ownNumber = ownNumber;
+        this.mayTest = mayTest;
         this.actions = actions;
         this.listener = listener;
     }
@@ -157,6 +174,8 @@
         if (since > far.since) {
             far.since = since;
             listener.restarted(now, far);
+            // Those of the process before say nothing more, and a set-up on one would be lost.
+            List.copyOf(far.legs).stream().filter(leg -> leg.openedAt < since).forEach(leg -> close(now, leg, "restarted"));
         }
         if (moved) {
             closeAll(now, far, "moved");
@@ -199,6 +218,14 @@
         }
     }
 
+    /** Closes every leg: nothing more is heard, and who sends something finds it undelivered. */
+    void closeAll(long now) {
+        ended = true;
+        for (Leg leg : List.copyOf(legs.values())) {
+            close(now, leg, "ends");
+        }
+    }
+
     private void close(long now, Leg leg, String reason) {
         if (legs.remove(leg.id) != null) {
             leg.far.legs.remove(leg);
@@ -235,7 +262,7 @@
     }
 
     private void connect(long now, Far far) {
-        if (far.address == null) {
+        if (far.address == null || ended) {
             return;
         }
         Leg leg = new Leg(++lastLeg, far, now);
@@ -250,7 +277,6 @@
         leg.heardAt = now;
         Far far = leg.far;
         far.reached = true;
-        far.heardAt = now;
         far.refusals = 0;
         far.silences = 0;
         // A further leg was tried as the others said nothing: it takes the place of the oldest of them.
@@ -279,10 +305,9 @@
         far.legs.remove(leg);
         far.refusals += how == Down.REFUSED ? 1 : 0;
         far.silences += how == Down.SILENT ? 1 : 0;
-        if (how == Down.REFUSED && far.anyUp()) {
-            // A process that drains takes no connection, but its machine says so and its calls stand.
+        if (how == Down.REFUSED) {
+            // The machine lives, whatever its process does: it may drain and take no connection.
             far.silences = 0;
-            far.heardAt = now;
         }
         boolean lived = how == Down.BROKEN && now - leg.openedAt > AGAIN_LONGEST;
         far.againAt = lived ? now : now + far.wait;
@@ -319,14 +344,22 @@
             if (wanted(far)) {
                 boolean trying = far.legs.stream().anyMatch(leg -> !leg.up);
                 long usable = far.legs.stream().filter(leg -> !leg.spent).count();
-                boolean quiet = now - far.heardAt > QUIET && now - far.triedAt > QUIET / 2;
+                // Only for its calls: each connection is work for an exchange that hears from every router.
+                boolean quiet = far.standing > 0 && now - far.triedAt > QUIET / 2
+                        && now - far.heardAt > (mayTest && far.anyUp() ? UNANSWERED : QUIET);
                 if (now >= far.againAt && usable < LEGS || !trying && quiet && usable <= LEGS) {
                     connect(now, far);
                 }
             }
+            if (far.standing > 0) {
+                test(now, far);
+            }
             if (far.standing > 0 && now - far.heardAt > DEAD && far.silences >= SILENCES) {
                 listener.died(now, far, "silent");
             }
+            if (far.standing > 0 && now - far.heardAt > MUTE) {
+                listener.died(now, far, "mute");
+            }
             if (far.standing > 0 && far.phase == Phase.GONE && now - Math.max(far.goneAt, far.heardAt) > GONE_SAYS) {
                 listener.died(now, far, "gone");
             }
@@ -338,6 +371,17 @@
         }
     }
 
+    /** One whose calls stand and that says nothing is tested on its legs in turn: one of them alone may be cut. */
+    private void test(long now, Far far) {
+        if (mayTest && now - far.heardAt > QUIET && now - far.testedAt > TEST_AGAIN) {
+            List<Leg> up = far.legs.stream().filter(leg -> leg.up).toList();
+            if (!up.isEmpty()) {
+                far.testedAt = now;
+                actions.toLeg(up.get(far.tests++ % up.size()).id, LegMessages.test(++lastTest));
+            }
+        }
+    }
+
     private void look(long now, Leg leg) {
         boolean partial = leg.framer.partial();
         leg.partialSince = partial ? leg.partialSince == 0 ? now : leg.partialSince : 0;
--- a/src/main/java/coralcove/platform/RouterCore.java
+++ b/src/main/java/coralcove/platform/RouterCore.java
@@ -22,14 +22,12 @@
 import coralcove.sip.BadMessage;
 import coralcove.sip.SipMessage;
 import coralcove.sip.SipParser;
+import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.PriorityQueue;
-import java.util.Set;
 import java.util.function.LongConsumer;
 
 /**
@@ -47,10 +45,8 @@
     private static final long LOOK = 50_000;
     /** µs after the start from which the router serves, though an exchange was not reached yet. */
     private static final long READY_AFTER = 1_500_000;
-    /** µs after SIGTERM for which set-ups are still taken, and those after it turned away at once. */
-    private static final long DRAIN_TAKES = 1_000_000;
-    /** µs without a message from callers after which a drained router ends. */
-    private static final long DRAIN_QUIET = 150_000;
+    /** µs after the start from which it serves by the list of its configuration, though nothing came of asking for a newer. */
+    private static final long READY_UNLISTED = 4_000_000;
     /** Calls that stand at most: past it a set-up is turned away. */
     private static final int MOST_STANDING = 50_000;
     /** Ended INVITEs and releases of calls not known yet that are remembered, and for how long: an answer's way. */
@@ -58,13 +54,6 @@
     private static final long REMEMBERED = 12_000_000;
     /** Set-ups that cannot be used, of which each is logged; from then on they are only counted. */
     private static final int MOST_TOLD = 20;
-    /** µs after which a release that was not heard is told elsewhere: two fit into the second that is given. */
-    private static final long UNHEARD = 300_000;
-    /** Releases on one connection that its caller has not said to have heard, at most; it may say nothing. */
-    private static final int MOST_UNHEARD = 100;
-    /** Releases that wait for a caller's connection at most. */
-    private static final int MOST_WAITING = 10_000;
-
     private static final class Invite {
         final Far far;
         final long sentAt;
@@ -95,7 +84,7 @@
 
     private record Standing(Far far, long caller, long since) {}
 
-    private record Due(long at, long order, LongConsumer act) {}
+    private record Arrival(Held held, Session session) {}
 
     private record Past(long at, Far far, int cause) {}
 
@@ -107,27 +96,28 @@
     private final Callers callers;
     private final Map<Long, Held> held = new HashMap<>();
     private final Map<Long, Standing> standing = new LinkedHashMap<>();
-    private final PriorityQueue<Due> timers = new PriorityQueue<>((a, b) -> a.at != b.at
-            ? Long.compare(a.at, b.at) : Long.compare(a.order, b.order));
+    private final Timers timers = new Timers();
+    private final News news;
+    private final Drain drain = new Drain();
+    /** Set-ups that were read and not decided yet, in the order in which they came. */
+    private final ArrayDeque<Arrival> arrivals = new ArrayDeque<>();
+    /** INVITEs that the module decided on and that are not written yet. */
+    private final ArrayDeque<Held> unsent = new ArrayDeque<>();
     /** Releases of calls not known yet, and INVITEs given up whose answer may be on its way. */
     private final Map<Long, Past> released = remembered();
     private final Map<Long, Past> calledOff = remembered();
     /** Sessions and calls that this router has ended itself: a release that comes again for one is no news. */
     private final Map<Long, Past> finished = remembered();
-    private final List<CallerMessage> waiting = new ArrayList<>();
     private final List<byte[]> peers = new ArrayList<>();
     private final Map<Long, Far> probes = new HashMap<>();
     private final long started;
-    private long order;
     private long now;
     private long lastEvent;
+    private boolean listAnswered;
+    private boolean listFailed;
     private long lookAt;
-    private long drainedSince;
     private long callerAt;
     private long lastProbe;
-    private long drainEnds;
-    private boolean endsNow;
-    private boolean ended;
     private final Tally tally = new Tally();
 
     public RouterCore(long now, ServiceSettings settings, CallRouter router, Actions actions) {
@@ -137,8 +127,9 @@
         this.router = router;
         this.actions = actions;
         inHand = new InHand(router, this);
-        exchanges = new Exchanges(settings.module().ownNumber(), actions, new Ends());
+        exchanges = new Exchanges(settings.module().ownNumber(), settings.mayTest(), actions, new Ends());
         callers = new Callers(settings.descriptors());
+        news = new News(callers, actions, timers);
     }
 
     private static Map<Long, Past> remembered() {
@@ -180,9 +171,8 @@
         } catch (BadCallerMessage e) {
             good = false;
         }
-        Set<Long> takenBack = takenBack(messages);
         for (CallerMessage message : messages) {
-            if (callers.get(id) == caller && !takenBack.contains(message.call())) {
+            if (callers.get(id) == caller) {
                 message(stamp, caller, message);
             }
         }
@@ -192,22 +182,6 @@
         }
     }
 
-    /** Set-ups that their caller took back before they were looked at: nothing is owed, and nobody need be asked. */
-    private Set<Long> takenBack(List<CallerMessage> messages) {
-        Set<Long> setUps = new HashSet<>();
-        Set<Long> found = new HashSet<>();
-        for (CallerMessage message : messages) {
-            if (message.type() == CallerMessage.SET_UP && !held.containsKey(message.call())
-                    && !standing.containsKey(message.call())) {
-                setUps.add(message.call());
-            } else if (message.type() == CallerMessage.RELEASE && setUps.contains(message.call())) {
-                found.add(message.call());
-                tally.givenUp++;
-            }
-        }
-        return found;
-    }
-
     /** One more has come near the bound of connections: two of no use go for it, so that callers are not kept waiting. */
     public void crowded(long stamp) {
         at(stamp);
@@ -234,7 +208,7 @@
     /** Its connection is gone: what was open on it is given up, what was told on it and not heard is told elsewhere. */
     private void leave(Caller caller) {
         List.copyOf(caller.open).forEach(this::giveUp);
-        caller.unheard.values().forEach(each -> tell(0, each));
+        news.lost(now, caller);
     }
 
     private void message(long stamp, Caller caller, CallerMessage message) {
@@ -243,7 +217,7 @@
             case CallerMessage.RELEASE -> callerReleases(caller, message);
             case CallerMessage.TEST -> {
                 callers.useful(caller);
-                boolean good = ready() && drainedSince == 0;
+                boolean good = ready() && !drain.begun();
                 actions.toCaller(caller.id, CallerMessage.withCause(CallerMessage.TEST_ANSWER, message.call(),
                         good ? 1 : 0));
             }
@@ -259,7 +233,7 @@
             }
         }
         if (caller.known) {
-            flushWaiting();
+            news.flush(now);
         }
     }
 
@@ -294,18 +268,54 @@
         tally.taken++;
         long limit = stamp + setUp.waitMs() * 1000;
         if (held.size() >= settings.mostOpen() || standing.size() >= MOST_STANDING
-                || drainedSince > 0 && now - drainedSince > DRAIN_TAKES) {
+                || !drain.takes(now)) {
             tally.refused++;
             release(caller, id, REFUSED);
             return;
         }
-        held.put(id, new Held(setUp, caller));
+        Held it = new Held(setUp, caller);
+        held.put(id, it);
         caller.open.add(id);
         Session session = new Session(id, setUp.serviceIndex(), 0, setUp.farEnd(), setUp.width(), setUp.via(),
                 setUp.transit(), Long.parseUnsignedLong(setUp.number(), 16), setUp.redialled(), setUp.cut(), stamp,
                 limit);
         timer(limit, moment -> limit(id));
-        inHand.take(now, session);
+        arrivals.add(new Arrival(it, session));
+    }
+
+    /**
+     * Has the module look at the set-up that waits longest, and writes the INVITEs that were decided on. Called when all that
+     * was read has been looked at: who left, by a release or by closing, has left before anything is begun for it.
+     */
+    public void decide(long moment) {
+        at(moment);
+        boolean decided = false;
+        while (!decided && !arrivals.isEmpty()) {
+            Arrival next = arrivals.poll();
+            decided = held.get(next.session.id()) == next.held;
+            if (decided) {
+                inHand.take(now, next.session);
+            }
+        }
+        for (Held it = unsent.poll(); it != null; it = unsent.poll()) {
+            if (held.get(it.setUp.call()) == it && it.out != null && it.out.leg == null) {
+                write(it);
+            }
+        }
+    }
+
+    /** Whether a set-up waits to be decided or an INVITE to be written. */
+    public boolean undecided() {
+        return !arrivals.isEmpty() || !unsent.isEmpty();
+    }
+
+    private void write(Held it) {
+        Leg leg = exchanges.pick(it.out.far);
+        if (leg != null) {
+            invite(it, leg);
+        } else {
+            exchanges.want(now, it.out.far);
+        }
     }
 
     /** No caller waits longer: whatever the session waits for, it has its answer now. */
@@ -396,45 +406,6 @@
         actions.toCaller(caller.id, CallerMessage.withCause(CallerMessage.RELEASE, id, cause));
     }
 
-    /**
-     * News of a call that stood goes on the connection of its set-up, or another, or waits for one. Callers say that they
-     * heard it; if that connection closes before they do, it is told again on another.
-     */
-    private void tell(long caller, CallerMessage message) {
-        Caller to = callers.forNews(caller);
-        if (to != null) {
-            to.unheard.put(message.call(), message);
-            if (to.unheard.size() > MOST_UNHEARD) {
-                to.unheard.remove(to.unheard.keySet().iterator().next());
-            }
-            actions.toCaller(to.id, message);
-            if (!to.hearing) {
-                timer(now + UNHEARD, moment -> again(to, message));
-            }
-        } else if (waiting.size() < MOST_WAITING) {
-            waiting.add(message);
-        }
-    }
-
-    /** Told to one that was never known to hear, and not heard: told again to one that does. */
-    private void again(Caller to, CallerMessage message) {
-        if (callers.get(to.id) == to && !to.hearing && to.unheard.containsKey(message.call())) {
-            Caller other = callers.forNews(0);
-            if (other != null && other.hearing) {
-                to.unheard.remove(message.call());
-                tell(0, message);
-            }
-        }
-    }
-
-    private void flushWaiting() {
-        if (!waiting.isEmpty()) {
-            List<CallerMessage> all = List.copyOf(waiting);
-            waiting.clear();
-            all.forEach(each -> tell(0, each));
-        }
-    }
-
     // ---- exchanges
 
     public void legUp(long stamp, long id) {
@@ -545,7 +516,7 @@
             int why = cause == 0 ? LegEndings.CUT : cause;
             released.put(id, new Past(now, leg.far, why));
             tally.passedOn++;
-            tell(0, CallerMessage.withCause(CallerMessage.RELEASE, id, why));
+            news.tell(now, 0, CallerMessage.withCause(CallerMessage.RELEASE, id, why));
         }
     }
 
@@ -555,7 +526,7 @@
         call.far.standing--;
         tally.over++;
         tally.cut += cause == LegEndings.NORMAL ? 0 : 1;
-        tell(call.caller, CallerMessage.withCause(CallerMessage.RELEASE, id, cause));
+        news.tell(now, call.caller, CallerMessage.withCause(CallerMessage.RELEASE, id, cause));
         inHand.ended(now, id, LegEndings.released(cause), Cause.NONE, call.far.id, 0, 0, true);
     }
 
@@ -691,8 +662,13 @@
             if (far.standing == 0) {
                 return;
             }
+            Leg leg = before == Long.MAX_VALUE ? exchanges.any(far) : null;
             for (Map.Entry<Long, Standing> each : List.copyOf(standing.entrySet())) {
                 if (each.getValue().far == far && each.getValue().since < before) {
+                    if (leg != null) {
+                        // It may only hang: what its callers were told is over must not stand on there.
+                        actions.toLeg(leg.id, LegMessages.bye(each.getKey(), LegEndings.CUT));
+                    }
                     over(each.getKey(), each.getValue(), LegEndings.CUT);
                 }
             }
@@ -717,7 +693,14 @@
         exchanges.tick(now);
     }
 
+    /** The bulletin answered: the list is as new as it gets. */
+    public void bulletinAnswered(long stamp, Bulletin bulletin) {
+        listAnswered = true;
+        bulletin(stamp, bulletin);
+    }
+
     public void bulletinLost(long stamp) {
+        listFailed = true;
         router.rosterLost(at(stamp));
     }
 
@@ -742,12 +725,7 @@
         Far far = exchanges.byId(exchange);
         Invite out = new Invite(far, now, now + allowance, ++it.invites);
         it.out = out;
-        Leg leg = exchanges.pick(far);
-        if (leg != null) {
-            invite(it, leg);
-        } else {
-            exchanges.want(now, far);
-        }
+        unsent.add(it);
         timer(out.limit, moment -> timedOut(it, out));
     }
 
@@ -815,21 +793,19 @@
     }
 
     private void timer(long at, LongConsumer act) {
-        timers.add(new Due(at, order++, act));
+        timers.at(at, act);
     }
 
     // ---- time
 
     /** When {@link #tick} is wanted next. */
     public long due() {
-        return Math.min(lookAt, timers.isEmpty() ? Long.MAX_VALUE : timers.peek().at);
+        return Math.min(lookAt, timers.next());
     }
 
     public void tick(long moment) {
         at(moment);
-        while (!timers.isEmpty() && timers.peek().at <= now) {
-            timers.poll().act.accept(now);
-        }
+        timers.run(now);
         if (now >= lookAt) {
             lookAt = now + LOOK;
             exchanges.tick(now);
@@ -837,14 +813,6 @@
                 tally.callersClosed++;
                 closeCaller(caller);
             }
-            boolean quiet = held.isEmpty() && now - callerAt > DRAIN_QUIET;
-            if (drainedSince > 0 && drainEnds == 0 && now - drainedSince > DRAIN_TAKES && quiet) {
-                drainEnds = now;
-                actions.deaf();
-            } else if (drainEnds > 0 && !ended && now - drainEnds > DRAIN_QUIET && quiet) {
-                ended = true;
-                endsNow = true;
-            }
             callers.mark(now);
         }
     }
@@ -860,10 +828,14 @@
             tally.crowded += caller.known ? 1 : 0;
             closeCaller(caller);
         }
-        if (endsNow) {
-            endsNow = false;
-            callers.all().forEach(this::closeCaller);
-            actions.end();
+        switch (drain.step(now, held.isEmpty(), callerAt, drain.begun() && news.owed())) {
+            case DEAF -> actions.deaf();
+            case END -> {
+                exchanges.closeAll(now);
+                callers.all().forEach(caller -> actions.closeCaller(caller.id));
+                actions.end();
+            }
+            case NOTHING -> { }
         }
     }
 
@@ -877,15 +849,19 @@
     /** SIGTERM: what is owed is answered, then the program ends; the calls stand on without it. */
     public void drain(long stamp) {
         at(stamp);
-        if (drainedSince == 0) {
-            drainedSince = now;
+        if (drain.begin(now)) {
             actions.log("drain", "", held.size() + " sessions in hand, " + standing.size() + " calls stand");
         }
     }
 
-    /** Whether the list is known and each exchange was reached or tried. */
+    /**
+     * Whether the list is known to be new, and each exchange was reached or tried. The list in the configuration is as old as
+     * the start: what the bulletin told since counts as told, so it is asked before the first INVITE, unless it fails.
+     */
     public boolean ready() {
-        return lastEvent > 0 && (exchanges.allTried() || now - started > READY_AFTER);
+        long up = now - started;
+        boolean listed = listAnswered || listFailed && up > READY_AFTER || up > READY_UNLISTED;
+        return lastEvent > 0 && listed && (exchanges.allTried() || up > READY_AFTER);
     }
 
     /** What was counted so far, in one line. */
--- a/src/main/java/coralcove/platform/ServiceSettings.java
+++ b/src/main/java/coralcove/platform/ServiceSettings.java
@@ -8,7 +8,7 @@
 
 /** What the core needs besides the module's settings; times in µs. */
 public record ServiceSettings(Settings module, List<String> services, List<Integer> widths, List<String> columns,
-        long connectTimeout, int mostOpen, int descriptors) {
+        long connectTimeout, int mostOpen, boolean mayTest, int descriptors) {
     /** µs until a connection counts as not coming up, where the settings say nothing. */
     private static final long CONNECT_TIMEOUT = 500_000;
     /** Sessions in hand at most, whatever the settings allow: each holds a description of up to 16 KiB. */
@@ -29,6 +29,6 @@
         return new ServiceSettings(module, services, widths, columns,
                 boot.up("limits.connect_timeout", CONNECT_TIMEOUT),
                 (int) Math.min(MOST_OPEN, boot.whole("limits.max_open", MOST_OPEN)),
-                descriptors);
+                boot.flag("limits.may_probe"), descriptors);
     }
 }
--- a/src/main/java/coralcove/platform/bulletin/Bulletin.java
+++ b/src/main/java/coralcove/platform/bulletin/Bulletin.java
@@ -56,6 +56,9 @@
         if (id.isEmpty() || address.isEmpty() && state != State.TERMINATED) {
             throw new IOException("bulletin: an exchange without id or address");
         }
+        if (!address.isEmpty() && !address.matches("[^:]+:\\d{1,5}")) {
+            throw new IOException("bulletin: " + id + ": no address: " + address);
+        }
         return new Entry(id, address, server.path("cell").asInt(-1), state, server.path("started_ms").asLong(0));
     }
 }
--- a/src/main/java/coralcove/platform/bulletin/BulletinPoll.java
+++ b/src/main/java/coralcove/platform/bulletin/BulletinPoll.java
@@ -1,10 +1,7 @@
 package coralcove.platform.bulletin;
 
 import java.io.IOException;
-import java.io.InputStream;
-import java.net.HttpURLConnection;
-import java.net.URI;
-import java.util.concurrent.TimeUnit;
+import java.net.InetSocketAddress;
 
 /**
  * Asks the bulletin for later events, one question at a time, on a thread of its own. A break, a stop or an answer that
@@ -13,64 +10,72 @@
 public final class BulletinPoll implements Runnable {
     /** Milliseconds that one question waits for news. The shorter, the sooner a silent bulletin is noticed. */
     private static final int PATIENCE = 1_000;
-    /** Milliseconds past that in which the answer must come, and for the connection. */
+    /** The same for the first question and after one that failed: what was missed is wanted now, and not in a second. */
+    private static final int NO_PATIENCE = 1;
+    /** Milliseconds past that in which the whole answer must have come, with the connection. */
     private static final int GRACE = 400;
     /** Milliseconds before a failed question is put again, doubling up to the longest. */
     private static final int AGAIN_FIRST = 50;
-    private static final int AGAIN_LONGEST = 400;
-    /** Bytes of the largest answer: the whole list of a thousand exchanges. */
-    private static final int MOST_BYTES = 512 << 10;
+    private static final int AGAIN_LONGEST = 200;
 
     /** Hears what was told, on the poll's thread. */
     public interface Listener {
+        /** An answer came; it holds no event where there was none. */
         void told(Bulletin bulletin);
 
         void failed(String reason);
     }
 
     private final Listener listener;
-    private volatile String address;
-    private volatile boolean closed;
-    private volatile HttpURLConnection asked;
+    private final BulletinConnection connection = new BulletinConnection();
+    private InetSocketAddress address;
+    private boolean closed;
     private long last;
 
-    public BulletinPoll(String address, long last, Listener listener) {
+    public BulletinPoll(InetSocketAddress address, long last, Listener listener) {
         this.address = address;
         this.last = last;
         this.listener = listener;
     }
 
     /** From now on another address is asked: the question that waits at the old one is dropped. The numbers go on. */
-    public void address(String now) {
+    public synchronized void address(InetSocketAddress now) {
         if (!now.equals(address)) {
             address = now;
-            HttpURLConnection waiting = asked;
-            if (waiting != null) {
-                waiting.disconnect();
-            }
+            connection.close();
+            notifyAll();
         }
     }
 
-    public void close() {
+    public synchronized void close() {
         closed = true;
+        connection.close();
+        notifyAll();
+    }
+
+    private synchronized InetSocketAddress next() {
+        return closed ? null : address;
     }
 
     @Override
     public void run() {
         int again = AGAIN_FIRST;
-        while (!closed) {
+        int patience = NO_PATIENCE;
+        while (true) {
+            InetSocketAddress asked = next();
+            if (asked == null) {
+                return;
+            }
             try {
-                Bulletin bulletin = Bulletin.read(ask());
-                if (!bulletin.events().isEmpty()) {
-                    listener.told(bulletin);
-                }
+                Bulletin bulletin = Bulletin.read(connection.get(asked,
+                        "/bulletins?after=" + last + "&patience=" + patience, patience + GRACE, () -> asked.equals(next())));
+                listener.told(bulletin);
                 last = Math.max(last, bulletin.last());
                 again = AGAIN_FIRST;
+                patience = PATIENCE;
             } catch (IOException | RuntimeException e) {
-                listener.failed(String.valueOf(e.getMessage()));
-                try {
-                    TimeUnit.MILLISECONDS.sleep(again);
-                } catch (InterruptedException stop) {
+                patience = NO_PATIENCE;
+                if (!failed(asked, String.valueOf(e.getMessage()), again)) {
                     return;
                 }
                 again = Math.min(AGAIN_LONGEST, 2 * again);
@@ -78,28 +83,17 @@
         }
     }
 
-    private byte[] ask() throws IOException {
-        URI uri = URI.create("http://" + address + "/bulletins?after=" + last + "&patience=" + PATIENCE);
-        HttpURLConnection http = (HttpURLConnection) uri.toURL().openConnection();
-        http.setConnectTimeout(GRACE);
-        http.setReadTimeout(PATIENCE + GRACE);
-        asked = http;
-        boolean whole = false;
-        try (InputStream in = http.getInputStream()) {
-            if (http.getResponseCode() != HttpURLConnection.HTTP_OK) {
-                throw new IOException("bulletin: status " + http.getResponseCode());
-            }
-            byte[] body = in.readNBytes(MOST_BYTES + 1);
-            if (body.length > MOST_BYTES) {
-                throw new IOException("bulletin: longer than " + MOST_BYTES + " bytes");
-            }
-            whole = true;
-            return body;
-        } finally {
-            asked = null;
-            if (!whole) {
-                http.disconnect();
-            }
+    /** Waits before the next question, but not where another address is to be asked; false where the thread is to end. */
+    private synchronized boolean failed(InetSocketAddress asked, String reason, int millis) {
+        if (closed || !asked.equals(address)) {
+            return true;
+        }
+        listener.failed(reason);
+        try {
+            wait(millis);
+            return true;
+        } catch (InterruptedException stop) {
+            return false;
         }
     }
 }
--- a/src/main/java/coralcove/platform/leg/LegMessages.java
+++ b/src/main/java/coralcove/platform/leg/LegMessages.java
@@ -47,6 +47,11 @@
         return request("OPTIONS", "sip:load@net", call, 1);
     }
 
+    /** Asks whether the exchange lives. */
+    public static SipMessage test(long call) {
+        return request("OPTIONS", "sip:ping@net", call, 1);
+    }
+
     /** The answer to a request of the exchange. */
     public static SipMessage reply(SipMessage request, int status, String reason) {
         SipMessage reply = SipMessage.status(status, reason);
--- a/src/main/java/coralcove/platform/live/Configuration.java
+++ b/src/main/java/coralcove/platform/live/Configuration.java
@@ -17,7 +17,7 @@
 
 /** What the platform tells a router: its file, read whole; a mistake is told with file, key and reason. */
 record Configuration(String name, InetSocketAddress listen, long seed, ServiceSettings settings,
-        InetSocketAddress peerListen, List<InetSocketAddress> peers, InetSocketAddress peersAll, String bulletin,
+        InetSocketAddress peerListen, List<InetSocketAddress> peers, InetSocketAddress peersAll, InetSocketAddress bulletin,
         Bulletin known) {
     private static final int DESCRIPTORS = 256;
 
@@ -41,7 +41,7 @@
                     root.hasNonNull("peer_listen") ? address(file, "peer_listen", text(file, root, "peer_listen")) : null,
                     List.copyOf(peers),
                     root.hasNonNull("peers_all") ? address(file, "peers_all", text(file, root, "peers_all")) : null,
-                    text(file, root, "bulletin"), Bulletin.of(root.get("known")));
+                    address(file, "bulletin", text(file, root, "bulletin")), Bulletin.of(root.get("known")));
         } catch (IOException e) {
             throw new BadConfig(file + ": known: " + e.getMessage());
         }
--- a/src/main/java/coralcove/platform/live/Serve.java
+++ b/src/main/java/coralcove/platform/live/Serve.java
@@ -19,8 +19,9 @@
 public final class Serve implements Actions, Streams.Listener {
     /** µs between two lines of counts in the log. */
     private static final long COUNTS = 5_000_000;
-    /** Inputs taken between two looks at the timers. */
-    private static final int BATCH = 64;
+    /** µs for which inputs are taken between two looks at the timers, and set-ups decided while more inputs wait. */
+    private static final long INTAKE = 20_000;
+    private static final long DECIDING = 10_000;
     /** Share of the descriptors from which no further caller's connection is taken until one is free; the core closes before. */
     private static final double CALLERS_SHARE = 0.7;
     /** Milliseconds after the last answer in which what was written goes out. */
@@ -54,7 +55,7 @@
         poll = new BulletinPoll(configuration.bulletin(), configuration.known().last(), new BulletinPoll.Listener() {
             @Override
             public void told(Bulletin bulletin) {
-                inputs.first(0, () -> core.bulletin(clock(), bulletin));
+                inputs.first(0, () -> core.bulletinAnswered(clock(), bulletin));
             }
 
             @Override
@@ -91,10 +92,10 @@
     public void serve() throws IOException, InterruptedException {
         log.start();
         core.bulletin(clock(), configuration.known());
-        streams.listen(configuration.listen());
         Thread thread = new Thread(poll, "bulletin");
         thread.setDaemon(true);
         thread.start();
+        streams.listen(configuration.listen());
         log("serving", "", configuration.listen().toString());
         loop();
         poll.close();
@@ -109,14 +110,18 @@
     private void loop() throws InterruptedException {
         long countsAt = clock() + COUNTS;
         while (!over) {
-            Inputs.Input input = inputs.next(Math.max(0, Math.min(COUNTS, core.due() - clock())));
-            for (int i = 0; i < BATCH && input != null; i++) {
+            // Whatever was read is looked at before a set-up is decided or an INVITE written: its caller may have left since.
+            Inputs.Input input = inputs.next(core.undecided() ? 0
+                    : Math.max(0, Math.min(COUNTS, core.due() - clock())));
+            long begun = clock();
+            while (input != null && clock() - begun < INTAKE) {
                 guarded(input.act());
                 input = inputs.next(0);
             }
-            if (input != null) {
+            boolean more = input != null;
+            if (more) {
                 guarded(input.act());
-            } else {
+            } else if (!core.undecided()) {
                 guarded(() -> core.caughtUp(clock()));
             }
             long now = clock();
@@ -124,6 +129,10 @@
                 lag = Math.max(lag, core.due() == 0 ? 0 : now - core.due());
                 guarded(() -> core.tick(clock()));
             }
+            long deciding = clock();
+            do {
+                guarded(() -> core.decide(clock()));
+            } while (more && core.undecided() && clock() - deciding < DECIDING);
             guarded(core::rest);
             if (now >= countsAt) {
                 countsAt = now + COUNTS;
--- a/src/test/java/coralcove/ChoiceTest.java
+++ b/src/test/java/coralcove/ChoiceTest.java
@@ -18,6 +18,10 @@
 import static coralcove.Exchange.Phase.READY;
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.lang.reflect.Field;
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
 import org.junit.jupiter.api.Test;
 
 /** Each test plays a short scene and compares what was decided with the trace kept under src/test/resources. */
@@ -384,4 +388,20 @@
         }
         assertThat(sent[1].toString()).isEqualTo(sent[0].toString());
     }
+
+    @Test
+    void exchangesThatAreReplacedAllDayAreNotKept() throws Exception {
+        // Each was, with its rings: a router's memory grew with the replacements.
+        Choice choice = new Choice(new Settings(2, 0, false, List.of(new Settings.Service(1_000_000, 1, 0.1, 1, 10_000_000,
+                true, List.of())), 4, true, true, 2_000_000, true, true, 300_000, 2, 2_000_000, 0.3, 10_000_000),
+                new SplittableRandom(1));
+        for (long id = 1; id <= 500; id++) {
+            choice.roster(id, false, List.of(new Exchange(id, 1, READY, id)));
+            choice.roster(id, id % 2 == 0, id % 2 == 0 ? List.of(new Exchange(id, 1, READY, id))
+                    : List.of(new Exchange(id, 1, GONE, id)));
+        }
+        Field kept = Choice.class.getDeclaredField("exchanges");
+        kept.setAccessible(true);
+        assertThat((Map<?, ?>) kept.get(choice)).hasSizeLessThanOrEqualTo(2);
+    }
 }
