Share descriptors out by part, keep early signals, reload one at a time, and force crossings on sockets

Each part now has its own bound (Descriptors), legs fall to one an exchange where they are scarce, a third stays callers' own. One at a time, read again up to five times; what else than the bulletin's address changed is logged as ignored. - The last 100 ms were slept in place of knowing that all was written: the router waits until its connections have closed.

--- a/src/main/java/coralcove/platform/Callers.java
+++ b/src/main/java/coralcove/platform/Callers.java
@@ -24,9 +24,6 @@
     private static final long JUST_CAME = 60_000;
     /** µs after which one that has sent nothing is a stranger: callers send as they connect. */
     private static final long YOUNG = 150_000;
-    /** Share of the descriptors for all callers' connections, and for those of use: a third is the callers' own. */
-    private static final double SHARE = 0.55;
-    private static final double KNOWN_SHARE = 0.42;
 
     static final class Caller {
         final long id;
@@ -50,17 +47,20 @@
         }
     }
 
-    private final int most;
-    private final int mostKnown;
+    private Descriptors room;
     private final Map<Long, Caller> callers = new LinkedHashMap<>();
     private final LinkedHashSet<Long> known = new LinkedHashSet<>();
     private final LinkedHashSet<Long> hearing = new LinkedHashSet<>();
     /** Connections marked for closing, and when. */
     private final Map<Long, Long> doomed = new LinkedHashMap<>();
 
-    Callers(int descriptors) {
-        most = (int) (SHARE * descriptors);
-        mostKnown = (int) (KNOWN_SHARE * descriptors);
+    Callers(Descriptors room) {
+        this.room = room;
+    }
+
+    /** There are more exchanges, or fewer: their legs need descriptors too. */
+    void room(Descriptors now) {
+        room = now;
     }
 
     Caller get(long id) {
@@ -117,7 +117,7 @@
      * ends a call needs one of their connections.
      */
     private List<Caller> tooMany(long now) {
-        int over = callers.size() - most;
+        int over = callers.size() - room.callersInAll();
         if (over <= 0) {
             return List.of();
         }
@@ -129,7 +129,7 @@
         }
         callers.values().stream().filter(each -> each.known && each.open.isEmpty() && now - each.readAt > SETTLED)
                 .sorted(Comparator.<Caller, Boolean>comparing(each -> each.hearing).thenComparing(each -> each.readAt))
-                .limit(Math.max(0, Math.min(over - found.size(), known.size() - mostKnown))).forEach(found::add);
+                .limit(Math.max(0, Math.min(over - found.size(), known.size() - room.callersOfUse()))).forEach(found::add);
         return found;
     }
 
@@ -142,7 +142,7 @@
             }
         }
         // In the order of the last that was of use: the first is idle longest. A third of the descriptors are callers' own.
-        for (Long id : known.size() > mostKnown ? known : Set.<Long>of()) {
+        for (Long id : known.size() > room.callersOfUse() ? known : Set.<Long>of()) {
             Caller caller = callers.get(id);
             if (found.size() < 2 && caller.open.isEmpty() && now - caller.readAt > YOUNG) {
                 found.add(caller);
--- a/src/main/java/coralcove/platform/Exchanges.java
+++ b/src/main/java/coralcove/platform/Exchanges.java
@@ -15,8 +15,6 @@
  * module's; it keeps legs open, picks one for a message, and tells which exchange has died.
  */
 final class Exchanges {
-    /** Legs kept to each exchange: what a spoilt answer takes with it is what is out on one of them. */
-    private static final int LEGS = 2;
     /** µs between two tries of an exchange that is not reached, doubling up to the longest. */
     private static final long AGAIN_FIRST = 100_000;
     private static final long AGAIN_LONGEST = 800_000;
@@ -113,6 +111,7 @@
     private final Listener listener;
     private final int ownNumber;
     private final boolean mayTest;
+    private final int descriptors;
     private final Map<String, Far> byName = new LinkedHashMap<>();
     private final Map<Long, Far> byId = new LinkedHashMap<>();
     private final Map<Long, Leg> legs = new LinkedHashMap<>();
@@ -121,13 +120,22 @@
     private long lastTest;
     private boolean ended;
 
-    Exchanges(int ownNumber, boolean mayTest, Actions actions, Listener listener) {
+    Exchanges(int ownNumber, boolean mayTest, int descriptors, Actions actions, Listener listener) {
         this.ownNumber = ownNumber;
         this.mayTest = mayTest;
+        this.descriptors = descriptors;
         this.actions = actions;
         this.listener = listener;
     }
 
+    int size() {
+        return byName.size();
+    }
+
+    private int legsEach() {
+        return new Descriptors(descriptors, byName.size()).legs();
+    }
+
     Far byId(long id) {
         return byId.get(id);
     }
@@ -281,7 +289,7 @@
         far.refusals = 0;
         far.silences = 0;
         // A further leg was tried as the others said nothing: it takes the place of the oldest of them.
-        if (far.legs.stream().filter(each -> each.up).count() > LEGS) {
+        if (far.legs.stream().filter(each -> each.up).count() > legsEach()) {
             for (Leg old : List.copyOf(far.legs)) {
                 if (old != leg && old.up && old.invites == 0) {
                     close(now, old, "replaced");
@@ -338,6 +346,7 @@
 
     /** Opens the legs that are missing, closes what is of no use, and finds who has died. */
     void tick(long now) {
+        int legsEach = legsEach();
         for (Far far : List.copyOf(byName.values())) {
             for (Leg leg : List.copyOf(far.legs)) {
                 look(now, leg);
@@ -347,7 +356,7 @@
                 long usable = far.legs.stream().filter(leg -> !leg.spent).count();
                 // Only for its calls: each connection is work for an exchange that hears from every router.
                 boolean quiet = far.standing > 0 && now - far.heardAt > QUIET && now - far.triedAt > ASK_AGAIN;
-                if (now >= far.againAt && usable < LEGS || !trying && quiet && usable <= LEGS) {
+                if (now >= far.againAt && usable < legsEach || !trying && quiet && usable <= legsEach) {
                     connect(now, far);
                 }
             }
--- a/src/main/java/coralcove/platform/RouterCore.java
+++ b/src/main/java/coralcove/platform/RouterCore.java
@@ -127,8 +127,8 @@
         this.router = router;
         this.actions = actions;
         inHand = new InHand(router, this);
-        exchanges = new Exchanges(settings.module().ownNumber(), settings.mayTest(), actions, new Ends());
-        callers = new Callers(settings.descriptors());
+        exchanges = new Exchanges(settings.module().ownNumber(), settings.mayTest(), settings.descriptors(), actions, new Ends());
+        callers = new Callers(new Descriptors(settings.descriptors(), 0));
         news = new News(callers, actions, timers);
     }
 
@@ -690,6 +690,7 @@
                         .forEach(this::unreachable);
             }
         }
+        callers.room(new Descriptors(settings.descriptors(), exchanges.size()));
         exchanges.tick(now);
     }
 
--- a/src/main/java/coralcove/platform/live/Configuration.java
+++ b/src/main/java/coralcove/platform/live/Configuration.java
@@ -4,6 +4,7 @@
 import com.fasterxml.jackson.databind.ObjectMapper;
 import coralcove.boot.Boot;
 import coralcove.config.BadConfig;
+import coralcove.platform.Descriptors;
 import coralcove.platform.ServiceSettings;
 import coralcove.platform.bulletin.Bulletin;
 import java.io.IOException;
@@ -12,8 +13,10 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 
 /** What the platform tells a router: its file, read whole; a mistake is told with file, key and reason. */
 record Configuration(String name, InetSocketAddress listen, long seed, ServiceSettings settings,
@@ -21,6 +24,13 @@
         Bulletin known) {
     private static final int DESCRIPTORS = 256;
 
+    /** How the descriptors are shared out, by the exchanges that the list has at the start. */
+    Descriptors room() {
+        Set<String> exchanges = new HashSet<>();
+        known.events().forEach(event -> event.entries().forEach(each -> exchanges.add(each.id())));
+        return new Descriptors(settings.descriptors(), exchanges.size());
+    }
+
     static Configuration read(Path file) throws BadConfig {
         JsonNode root;
         try {
--- a/src/main/java/coralcove/platform/live/Serve.java
+++ b/src/main/java/coralcove/platform/live/Serve.java
@@ -10,6 +10,7 @@
 import coralcove.platform.caller.CallerMessage;
 import coralcove.sip.SipMessage;
 import java.io.IOException;
+import java.io.PrintStream;
 import java.net.InetSocketAddress;
 import java.nio.file.Path;
 import java.util.SplittableRandom;
@@ -22,10 +23,11 @@
     /** µs for which inputs are taken between two looks at the timers, and set-ups decided while more inputs wait. */
     private static final long INTAKE = 20_000;
     private static final long DECIDING = 10_000;
-    /** Share of the descriptors from which no further caller's connection is taken until one is free; the core closes before. */
-    private static final double CALLERS_SHARE = 0.7;
-    /** Milliseconds after the last answer in which what was written goes out. */
-    private static final int LAST_WRITES = 100;
+    /** Milliseconds in which what was written last goes out, to peers that read. */
+    private static final int LAST_WRITES = 1_000;
+    /** Tries to read a configuration that is being written, and milliseconds between them. */
+    private static final int READS = 5;
+    private static final int READ_AGAIN = 100;
     private static final long STARTED = System.currentTimeMillis() * 1000 - System.nanoTime() / 1000;
 
     private final Path file;
@@ -39,14 +41,14 @@
     private volatile boolean over;
     private long lag;
 
-    private Serve(Path file, Configuration configuration) throws IOException {
+    private Serve(Path file, Configuration configuration, PrintStream out) throws IOException {
         this.file = file;
         this.configuration = configuration;
-        log = new LogLines(configuration.name(), System.err);
+        log = new LogLines(configuration.name(), out);
         core = new RouterCore(clock(), configuration.settings(),
                 new Choice(configuration.settings().module(), new SplittableRandom(configuration.seed())), this);
         streams = new Streams(Math.max(1, configuration.settings().connectTimeout() / 1000),
-                (int) (CALLERS_SHARE * configuration.settings().descriptors()), Serve::clock, this);
+                configuration.room().callers(), Serve::clock, this);
         peers = configuration.peerListen() == null ? null : new Peers(configuration.peerListen(), configuration.peers(),
                 configuration.peersAll(), (rank, bytes) -> {
                     long stamp = clock();
@@ -67,14 +69,21 @@
 
     /** A router by this configuration, which serves once {@link #serve} is called. */
     public static Serve of(Path file) throws BadConfig, IOException {
-        return new Serve(file, Configuration.read(file));
+        return of(file, System.err);
+    }
+
+    static Serve of(Path file, PrintStream out) throws BadConfig, IOException {
+        return new Serve(file, Configuration.read(file), out);
     }
 
     /** As a program: SIGTERM drains it, SIGHUP has the configuration read again. */
     public static void run(Path file) throws BadConfig, IOException, InterruptedException {
+        // Before anything else: a signal during the start would end the program, or be lost.
+        EarlySignals early = new EarlySignals();
+        Signals.on("TERM", early::drain);
+        Signals.on("HUP", early::reload);
         Serve serve = of(file);
-        Signals.on("TERM", serve::drain);
-        Signals.on("HUP", serve::reload);
+        early.to(serve::drain, serve::reload);
         serve.serve();
     }
 
@@ -99,7 +108,7 @@
         log("serving", "", configuration.listen().toString());
         loop();
         poll.close();
-        TimeUnit.MILLISECONDS.sleep(LAST_WRITES);
+        streams.flush(LAST_WRITES);
         streams.close();
         if (peers != null) {
             peers.close();
@@ -151,14 +160,37 @@
         }
     }
 
-    private void reload() {
+    /**
+     * SIGHUP: the bulletin may have moved; nothing else is taken from the file while the router runs, and what else it changes is
+     * logged. One at a time, each reading the file anew, so that of two the later file stays.
+     */
+    public synchronized void reload() {
         try {
-            Configuration fresh = Configuration.read(file);
+            Configuration fresh = whole();
             poll.address(fresh.bulletin());
             inputs.first(0, () -> core.bulletin(clock(), fresh.known()));
             log("reloaded", "", "bulletin " + fresh.bulletin());
-        } catch (BadConfig e) {
-            log("not-reloaded", "", e.getMessage());
+            if (!fresh.settings().equals(configuration.settings()) || !fresh.listen().equals(configuration.listen())) {
+                log("reload-ignored", "", "settings or listen have changed: they count from the next start");
+            }
+        } catch (BadConfig | RuntimeException e) {
+            log("not-reloaded", "", String.valueOf(e.getMessage()));
+        } catch (InterruptedException stop) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    /** The file may be read while it is written. */
+    private Configuration whole() throws BadConfig, InterruptedException {
+        for (int reads = 1;; reads++) {
+            try {
+                return Configuration.read(file);
+            } catch (BadConfig e) {
+                if (reads == READS) {
+                    throw e;
+                }
+                TimeUnit.MILLISECONDS.sleep(READ_AGAIN);
+            }
         }
     }
 
--- a/src/main/java/coralcove/platform/live/Streams.java
+++ b/src/main/java/coralcove/platform/live/Streams.java
@@ -26,6 +26,8 @@
     private static final long MOST_WAITING = 256 << 10;
     /** Bytes read at a time at most: a connection that sends at full speed must not fill the queue by itself. */
     private static final int READ_BUFFER = 16 << 10;
+    /** Milliseconds between two looks at what is left: MINA counts a session out after it has told of its close. */
+    private static final int FLUSH_LOOK = 10;
     private static final AttributeKey ID = new AttributeKey(Streams.class, "id");
 
     /** Hears on MINA's threads, in the order of each connection. */
@@ -55,6 +57,7 @@
     private final Map<Long, IoSession> legs = new ConcurrentHashMap<>();
     private final Map<Long, ConnectFuture> opening = new ConcurrentHashMap<>();
     private final AtomicLong lastCaller = new AtomicLong();
+    private final Object gone = new Object();
     private volatile boolean closed;
 
     Streams(long connectMillis, int mostCallers, LongSupplier clock, Listener listener) {
@@ -150,6 +153,17 @@
         thread.start();
     }
 
+    /** Waits until all callers' connections have closed, with what was written to them before; at most so long. */
+    void flush(int millis) throws InterruptedException {
+        long until = System.nanoTime() + millis * 1_000_000L;
+        synchronized (gone) {
+            for (long left = millis; left > 0 && acceptor.getManagedSessionCount() > 0;
+                    left = (until - System.nanoTime()) / 1_000_000) {
+                gone.wait(Math.min(left, FLUSH_LOOK));
+            }
+        }
+    }
+
     @Override
     public void close() {
         closed = true;
@@ -178,6 +192,9 @@
             callers.remove(id);
             processor.freed();
             listener.closed(id);
+            synchronized (gone) {
+                gone.notifyAll();
+            }
         }
 
         @Override
