Keep the calls of an exchange that is cut off for less than the 8 s in which ends must be told

A call's end has to be told within 8 s of it and may be as old as the last message; 6.5 s leave 1.5 s for the news, which the hanging exchange's rule has already. So there is one limit, and Exchanges.DEAD, SILENCES and the count of silences go.

Test: legs of an exchange's process before are closed when it starts anew (fails without).

--- a/src/main/java/coralcove/platform/Exchanges.java
+++ b/src/main/java/coralcove/platform/Exchanges.java
@@ -25,16 +25,12 @@
     private static final long QUIET = 3_000_000;
     /** µs between two further legs that are tried for that, and between two tests. */
     private static final long ASK_AGAIN = 1_000_000;
-    /** µs without a sign of life, and without a leg that comes up, after which an exchange is dead. */
-    private static final long DEAD = 4_500_000;
     /**
-     * µs without a message after which the calls of an exchange are over, whatever its connections do: it hangs, or its
-     * process drained and is gone. A call's end has to be told within 8 s of it and may be as old as the last message; the
-     * rest is for the news to be heard.
+     * µs without a message after which the calls of an exchange are over, whatever its connections do: it hangs, is cut off, or
+     * its process drained and is gone. A call's end has to be told within 8 s of it and may be as old as the last message; the
+     * rest is for the news to be heard. Not sooner: what is cut off for some seconds has its calls when it comes back.
      */
     private static final long MUTE = 6_500_000;
-    /** Tries in a row that did not come up, from which that is no chance. */
-    private static final int SILENCES = 2;
     /** µs after an exchange is told gone in which its legs still may say something. */
     private static final long GONE_SAYS = 3_000_000;
     /** Refused tries in a row, with no leg up, from which an exchange is dead: one can be a process that starts. */
@@ -80,7 +76,6 @@
         long againAt;
         long wait = AGAIN_FIRST;
         int refusals;
-        int silences;
         long goneAt;
         int standing;
         boolean reached;
@@ -287,7 +282,6 @@
         Far far = leg.far;
         far.reached = true;
         far.refusals = 0;
-        far.silences = 0;
         // A further leg was tried as the others said nothing: it takes the place of the oldest of them.
         if (far.legs.stream().filter(each -> each.up).count() > legsEach()) {
             for (Leg old : List.copyOf(far.legs)) {
@@ -303,7 +297,6 @@
         leg.heardAt = now;
         leg.partialSince = 0;
         leg.far.heardAt = now;
-        leg.far.silences = 0;
         leg.far.wait = AGAIN_FIRST;
     }
 
@@ -313,11 +306,6 @@
         Far far = leg.far;
         far.legs.remove(leg);
         far.refusals += how == Down.REFUSED ? 1 : 0;
-        far.silences += how == Down.SILENT ? 1 : 0;
-        if (how == Down.REFUSED) {
-            // The machine lives, whatever its process does: it may drain and take no connection.
-            far.silences = 0;
-        }
         boolean lived = how == Down.BROKEN && now - leg.openedAt > AGAIN_LONGEST;
         far.againAt = lived ? now : now + far.wait;
         far.wait = lived ? AGAIN_FIRST : Math.min(AGAIN_LONGEST, 2 * far.wait);
@@ -363,9 +351,6 @@
             if (far.standing > 0) {
                 test(now, far);
             }
-            if (far.standing > 0 && now - far.heardAt > DEAD && far.silences >= SILENCES) {
-                listener.died(now, far, "silent");
-            }
             if (far.standing > 0 && now - far.heardAt > MUTE) {
                 listener.died(now, far, "mute");
             }
--- a/src/test/java/coralcove/platform/RouterCoreTest.java
+++ b/src/test/java/coralcove/platform/RouterCoreTest.java
@@ -331,6 +331,22 @@
         assertThat(count("BYE sip:0000000000000055@net")).isEqualTo(1);
     }
 
+    @Test
+    void legsOfTheProcessBeforeCarryNothingToAnExchangeThatStartedAnew() {
+        // Half open, they took an INVITE that nobody read.
+        stands(1, 0x57, 1);
+        long since = desk.now() / 1000 + 1;
+        desk.to(500);
+        desk.core.bulletin(desk.now(), new Bulletin(2, List.of(new Bulletin.Event(2, false, List.of(new Bulletin.Entry("s-01",
+                "10.1.0.1:5080", 1, Bulletin.State.IN_SERVICE, since))))));
+        assertThat(desk.closedLegs).containsExactly(1L, 3L);
+        assertThat(count("caller 1 release 57 cause 41")).isEqualTo(1);
+        desk.to(600);
+        desk.allUp();
+        set(2, 0x58, 1);
+        assertThat(legOf(0x58)).isGreaterThan(4);
+    }
+
     @Test
     void whereTestsAreNotAllowedNoneIsSent() {
         PlatformDesk plain = new PlatformDesk(256, false);
