Refuse settings that are missing or strange, in place of taking another value for them

limits.sockets that was missing or no number became 256, a flag that was neither true nor false was false, and a fall_multiple that is no number kept every cold exchange shut. Each is now told with file or path, key and reason; the program does not start by it, and a reload does not take it. Seen by reading; no deployment at hand has one.

--- a/src/main/java/coralcove/boot/Boot.java
+++ b/src/main/java/coralcove/boot/Boot.java
@@ -60,6 +60,10 @@
                     Math.max(1, down(holds.get(i))), get(at + "effect", "repeatable").equals("repeatable"),
                     pools(i)));
         }
+        atLeast("balancers", 1);
+        atLeast("limits.try_limit", 1);
+        atLeast("contract.fall_multiple", Double.MIN_VALUE);
+        atLeast("contract.cold_from", Double.MIN_VALUE);
         return new Settings(Integer.parseInt(need("balancers")), Integer.parseInt(need("family_info.this_node")),
                 get("family_info.layout", "mesh").equals("pools"), services,
                 Integer.parseInt(need("limits.try_limit")), flag("clients.marks_retry"), flag("limits.retry_after"),
@@ -92,8 +96,20 @@
         return value == null || value.isEmpty() ? otherwise : value;
     }
 
-    public boolean flag(String path) {
-        return get(path, "false").equals("true");
+    /** True or false; what is not told is not allowed, what is neither is no setting. */
+    public boolean flag(String path) throws BadConfig {
+        String value = get(path, "false");
+        if (!value.equals("true") && !value.equals("false")) {
+            throw new BadConfig("settings: " + path + " is neither true nor false: " + value);
+        }
+        return value.equals("true");
+    }
+
+    private void atLeast(String path, double least) throws BadConfig {
+        double value = Double.parseDouble(need(path));
+        if (!(value >= least) || Double.isInfinite(value)) {
+            throw new BadConfig("settings: " + path + " cannot be " + need(path));
+        }
     }
 
     private double number(String path, double otherwise) {
--- a/src/main/java/coralcove/platform/live/Configuration.java
+++ b/src/main/java/coralcove/platform/live/Configuration.java
@@ -22,7 +22,8 @@
 record Configuration(String name, InetSocketAddress listen, long seed, ServiceSettings settings,
         InetSocketAddress peerListen, List<InetSocketAddress> peers, InetSocketAddress peersAll, InetSocketAddress bulletin,
         Bulletin known) {
-    private static final int DESCRIPTORS = 256;
+    /** Descriptors under which no router can hold the list, a leg and its callers. */
+    private static final int LEAST_DESCRIPTORS = 64;
 
     /** How the descriptors are shared out, by the exchanges that the list has at the start. */
     Descriptors room() {
@@ -47,7 +48,7 @@
             }
             return new Configuration(root.path("name").asText("router"),
                     address(file, "listen", text(file, root, "listen")), seed(file, text(file, root, "seed")),
-                    ServiceSettings.of(Boot.of(pairs), root.path("limits").path("sockets").asInt(DESCRIPTORS)),
+                    ServiceSettings.of(Boot.of(pairs), descriptors(file, root.path("limits").path("sockets"))),
                     root.hasNonNull("peer_listen") ? address(file, "peer_listen", text(file, root, "peer_listen")) : null,
                     List.copyOf(peers),
                     root.hasNonNull("peers_all") ? address(file, "peers_all", text(file, root, "peers_all")) : null,
@@ -82,6 +83,14 @@
         }
     }
 
+    private static int descriptors(Path file, JsonNode sockets) throws BadConfig {
+        if (!sockets.canConvertToInt() || sockets.asInt() < LEAST_DESCRIPTORS) {
+            throw new BadConfig(file + ": limits.sockets: "
+                    + (sockets.isMissingNode() ? "is missing" : "no number from " + LEAST_DESCRIPTORS + " up: " + sockets));
+        }
+        return sockets.asInt();
+    }
+
     private static String text(Path file, JsonNode root, String key) throws BadConfig {
         String value = root.path(key).asText("");
         if (value.isEmpty()) {
--- a/src/test/java/coralcove/platform/live/LiveTest.java
+++ b/src/test/java/coralcove/platform/live/LiveTest.java
@@ -45,6 +45,35 @@
         Files.writeString(file, "{\"listen\":\"10.0.0.4\",\"settings\":{}}");
         assertThatThrownBy(() -> Configuration.read(file)).isInstanceOf(BadConfig.class)
                 .hasMessage(file + ": listen: no address: 10.0.0.4");
+        // What is missing or strange is told, not replaced in silence.
+        String settings = "'balancers':2,'classes':[{'name':'a','aim':1,'credit':1}],'contract':{'fall_multiple':3,"
+                + "'overload_for':1,'cold_from':0.3,'warm_up':1},'family_info':{'call_length':[1],'class_width':[1],"
+                + "'release_guard':1,'this_node':0},'limits':{'try_limit':4},'report':{'columns':['a','b']}";
+        Map<String, String> wrong = Map.of(settings.replace("'try_limit':4", "'try_limit':0"),
+                "settings: limits.try_limit cannot be 0",
+                settings.replace("'try_limit':4", "'try_limit':4,'peers':'yes'"),
+                "settings: limits.peers is neither true nor false: yes",
+                settings.replace("'fall_multiple':3", "'fall_multiple':'NaN'"),
+                "settings: contract.fall_multiple cannot be NaN",
+                settings.replace("'release_guard':1,", ""), "settings: family_info.release_guard is missing");
+        for (Map.Entry<String, String> each : wrong.entrySet()) {
+            Files.writeString(file, configuration("'limits':{'sockets':256}", each.getKey()));
+            assertThatThrownBy(() -> Configuration.read(file)).isInstanceOf(BadConfig.class).hasMessage(each.getValue());
+        }
+        Map<String, String> sockets = Map.of("'limits':{}", "is missing", "'limits':{'sockets':'many'}",
+                "no number from 64 up: \"many\"", "'limits':{'sockets':0}", "no number from 64 up: 0");
+        for (Map.Entry<String, String> each : sockets.entrySet()) {
+            Files.writeString(file, configuration(each.getKey(), settings));
+            assertThatThrownBy(() -> Configuration.read(file)).isInstanceOf(BadConfig.class)
+                    .hasMessage(file + ": limits.sockets: " + each.getValue());
+        }
+        Files.writeString(file, configuration("'limits':{'sockets':256}", settings));
+        assertThat(Configuration.read(file).settings().mayTest()).isFalse();
+    }
+
+    private static String configuration(String limits, String settings) {
+        return ("{'listen':'127.0.0.1:5080','seed':'1','bulletin':'127.0.0.1:9092','known':{'no':1,'items':[]}," + limits
+                + ",'settings':{" + settings + "}}").replace('\'', '"');
     }
 
     @Test
