Take standing calls out of RouterCore; keep a caller's release for the next leg, and calls at exchanges not listed yet

Read in the code: a caller's release was dropped where no leg to its exchange was up (RouterCore.callerReleases, leg == null), and the call stood on there with its circuits; a restarted router cut a call told to stand at an exchange that is newer than its configuration's list (RouterCore.stands, far == null). Two tests, seen failing with the code before.

--- a/src/main/java/coralcove/platform/Exchanges.java
+++ b/src/main/java/coralcove/platform/Exchanges.java
@@ -143,6 +143,18 @@
         return legs.get(id);
     }
 
+    /** One that is not listed yet, but that a call is said to stand at; null where there are too many. */
+    Far expected(long now, String name) {
+        if (byName.size() >= MOST_EXCHANGES) {
+            return null;
+        }
+        Far far = new Far(++lastId, name);
+        far.heardAt = now;
+        byName.put(name, far);
+        byId.put(far.id, far);
+        return far;
+    }
+
     /** Takes one event of the bulletin; the lines that the module is told. */
     List<Exchange> roster(long now, Bulletin.Event event) {
         List<Exchange> told = new ArrayList<>();
@@ -160,10 +172,7 @@
                 continue;
             }
             if (far == null) {
-                far = new Far(++lastId, entry.id());
-                far.heardAt = now;
-                byName.put(far.name, far);
-                byId.put(far.id, far);
+                far = expected(now, entry.id());
             }
             told.add(take(now, far, entry, told));
         }
@@ -323,7 +332,7 @@
 
     /** Whether each exchange in service was reached, or was tried and did not answer. */
     boolean allTried() {
-        return byName.values().stream().noneMatch(far -> wanted(far) && !far.reached
+        return byName.values().stream().noneMatch(far -> wanted(far) && far.address != null && !far.reached
                 && (far.triedAt == 0 || far.legs.stream().anyMatch(leg -> !leg.up) && far.refusals == 0));
     }
 
@@ -357,7 +366,7 @@
             if (far.standing > 0 && far.phase == Phase.GONE && now - Math.max(far.goneAt, far.heardAt) > GONE_SAYS) {
                 listener.died(now, far, "gone");
             }
-            if (far.phase == Phase.GONE && far.standing == 0 && far.legs.stream().allMatch(l -> l.invites == 0)) {
+            if ((far.phase == Phase.GONE || far.address == null) && far.standing == 0 && far.legs.stream().allMatch(l -> l.invites == 0)) {
                 closeAll(now, far, "gone");
                 byName.remove(far.name);
                 byId.remove(far.id);
--- a/src/main/java/coralcove/platform/RouterCore.java
+++ b/src/main/java/coralcove/platform/RouterCore.java
@@ -47,11 +47,6 @@
     private static final long READY_AFTER = 1_500_000;
     /** µs after the start from which it serves by the list of its configuration, though nothing came of asking for a newer. */
     private static final long READY_UNLISTED = 4_000_000;
-    /** Calls that stand at most: past it a set-up is turned away. */
-    private static final int MOST_STANDING = 50_000;
-    /** Ended INVITEs and releases of calls not known yet that are remembered, and for how long: an answer's way. */
-    private static final int MOST_REMEMBERED = 4_000;
-    private static final long REMEMBERED = 12_000_000;
     /** Set-ups that cannot be used, of which each is logged; from then on they are only counted. */
     private static final int MOST_TOLD = 20;
     private static final class Invite {
@@ -82,12 +77,8 @@
         }
     }
 
-    private record Standing(Far far, long caller, long since) {}
-
     private record Arrival(Held held, Session session) {}
 
-    private record Past(long at, Far far, int cause) {}
-
     private final ServiceSettings settings;
     private final Actions actions;
     private final CallRouter router;
@@ -95,7 +86,7 @@
     private final Exchanges exchanges;
     private final Callers callers;
     private final Map<Long, Held> held = new HashMap<>();
-    private final Map<Long, Standing> standing = new LinkedHashMap<>();
+    private final StandingCalls standing;
     private final Timers timers = new Timers();
     private final News news;
     private final Drain drain = new Drain();
@@ -103,11 +94,8 @@
     private final ArrayDeque<Arrival> arrivals = new ArrayDeque<>();
     /** INVITEs that the module decided on and that are not written yet. */
     private final ArrayDeque<Held> unsent = new ArrayDeque<>();
-    /** Releases of calls not known yet, and INVITEs given up whose answer may be on its way. */
-    private final Map<Long, Past> released = remembered();
-    private final Map<Long, Past> calledOff = remembered();
-    /** Sessions and calls that this router has ended itself: a release that comes again for one is no news. */
-    private final Map<Long, Past> finished = remembered();
+    /** INVITEs given up, and where: an answer may be on its way. */
+    private final Map<Long, Far> calledOff = StandingCalls.remembered();
     private final List<byte[]> peers = new ArrayList<>();
     private final Map<Long, Far> probes = new HashMap<>();
     private final long started;
@@ -130,17 +118,8 @@
         exchanges = new Exchanges(settings.module().ownNumber(), settings.mayTest(), settings.descriptors(), actions, new Ends());
         callers = new Callers(new Descriptors(settings.descriptors(), 0));
         news = new News(callers, actions, timers);
-    }
-
-    private static Map<Long, Past> remembered() {
-        return new LinkedHashMap<>() {
-            private static final long serialVersionUID = 1;
-
-            @Override
-            protected boolean removeEldestEntry(Map.Entry<Long, Past> eldest) {
-                return size() > MOST_REMEMBERED;
-            }
-        };
+        standing = new StandingCalls(exchanges, news, actions, tally, (at, id, far, ending) ->
+                inHand.ended(at, id, ending, Cause.NONE, far.id, 0, 0, true));
     }
 
     /** The moment of an input: by its arrival, but never before what was looked at already. */
@@ -251,11 +230,13 @@
         long id = setUp.call();
         if (setUp.standsAt() != null) {
             callers.useful(caller);
-            stands(caller, setUp);
+            if (!held.containsKey(id)) {
+                standing.told(now, id, setUp.standsAt(), caller.id, listAnswered);
+            }
             return;
         }
         Held before = held.get(id);
-        if (before != null || standing.containsKey(id)) {
+        if (before != null || standing.has(id)) {
             // Two set-ups under one id: the answer of one would be taken for the other's.
             tally.unusable++;
             release(caller, id, IN_USE);
@@ -267,7 +248,7 @@
         callers.useful(caller);
         tally.taken++;
         long limit = stamp + setUp.waitMs() * 1000;
-        if (held.size() >= settings.mostOpen() || standing.size() >= MOST_STANDING
+        if (held.size() >= settings.mostOpen() || standing.full()
                 || !drain.takes(now)) {
             tally.refused++;
             release(caller, id, REFUSED);
@@ -331,28 +312,6 @@
         }
     }
 
-    /** A call that stands already, told after a start; it may have ended while nobody could be told. */
-    private void stands(Caller caller, SetUp setUp) {
-        long id = setUp.call();
-        Far far = exchanges.byName(setUp.standsAt());
-        Past past = released.remove(id);
-        if (held.containsKey(id) || standing.containsKey(id)) {
-            return;
-        }
-        if (past != null && now - past.at < REMEMBERED) {
-            // Its release came first and was passed on.
-            return;
-        }
-        if (far == null) {
-            tally.over++;
-            release(caller, id, LegEndings.CUT);
-            return;
-        }
-        tally.toldStanding++;
-        standing.put(id, new Standing(far, caller.id, now));
-        far.standing++;
-    }
-
     private void callerReleases(Caller caller, CallerMessage message) {
         long id = message.call();
         Held it = held.get(id);
@@ -361,17 +320,8 @@
             giveUp(id);
             return;
         }
-        Standing call = standing.remove(id);
-        if (call != null) {
+        if (standing.callerReleases(now, id, message.cause(LegEndings.NORMAL))) {
             callers.useful(caller);
-            finish(id);
-            call.far.standing--;
-            tally.over++;
-            Leg leg = exchanges.any(call.far);
-            if (leg != null) {
-                actions.toLeg(leg.id, LegMessages.bye(id, message.cause(LegEndings.NORMAL)));
-            }
-            inHand.ended(now, id, Ending.OVER, Cause.NONE, call.far.id, 0, 0, true);
         }
     }
 
@@ -382,7 +332,7 @@
             return;
         }
         tally.givenUp++;
-        finish(id);
+        standing.finish(now, id);
         it.caller.open.remove(id);
         inHand.left(now, id);
         Invite out = it.out;
@@ -398,7 +348,7 @@
 
     /** An answer to it may be on its way. */
     private void cancel(Held it, Invite out) {
-        calledOff.put(it.setUp.call(), new Past(now, out.far, LegEndings.NORMAL));
+        calledOff.put(it.setUp.call(), out.far);
         actions.toLeg(out.leg.id, LegMessages.cancel(it.setUp.call(), out.sequence, it.setUp.number()));
     }
 
@@ -417,6 +367,7 @@
             return;
         }
         exchanges.up(now, leg);
+        standing.legUp(leg);
         for (Held it : List.copyOf(held.values())) {
             if (it.out != null && it.out.leg == null && it.out.far == leg.far) {
                 invite(it, leg);
@@ -508,28 +459,11 @@
             end(it, Ending.RESET, Cause.NONE, 0);
             return;
         }
-        Standing call = standing.get(id);
-        if (call != null && call.far == leg.far) {
-            over(id, call, cause == 0 ? LegEndings.CUT : cause);
-        } else if (call == null && it == null && !released.containsKey(id) && !finished.containsKey(id)) {
-            // It stood before this start: its caller is told, also if its set-up comes again behind this.
-            int why = cause == 0 ? LegEndings.CUT : cause;
-            released.put(id, new Past(now, leg.far, why));
-            tally.passedOn++;
-            news.tell(now, 0, CallerMessage.withCause(CallerMessage.RELEASE, id, why));
+        if (it == null) {
+            standing.released(now, id, leg.far, cause);
         }
     }
 
-    private void over(long id, Standing call, int cause) {
-        standing.remove(id);
-        finish(id);
-        call.far.standing--;
-        tally.over++;
-        tally.cut += cause == LegEndings.NORMAL ? 0 : 1;
-        news.tell(now, call.caller, CallerMessage.withCause(CallerMessage.RELEASE, id, cause));
-        inHand.ended(now, id, LegEndings.released(cause), Cause.NONE, call.far.id, 0, 0, true);
-    }
-
     private void answer(long stamp, Leg leg, SipMessage message) {
         Long id = LegMessages.call(message);
         if (id == null) {
@@ -562,8 +496,7 @@
         held.remove(id);
         it.caller.open.remove(id);
         leg.invites--;
-        standing.put(id, new Standing(leg.far, it.caller.id, now));
-        leg.far.standing++;
+        standing.stands(now, id, leg.far, it.caller.id);
         tally.stood(stamp - it.out.sentAt);
         actions.toCaller(it.caller.id, CallerMessage.of(CallerMessage.ANSWER, id)
                 .add(CallerMessage.DESCRIPTION, message.body()));
@@ -573,9 +506,8 @@
     /** An answer that nobody waits for: a second copy, one under an unknown id, or one after its INVITE was given up. */
     private void late(Leg leg, long id, SipMessage message, Held it) {
         tally.late++;
-        if (message.status() < 300 && it == null && !standing.containsKey(id)) {
-            Past past = calledOff.get(id);
-            if (past != null && past.far == leg.far) {
+        if (message.status() < 300 && it == null && !standing.has(id)) {
+            if (calledOff.get(id) == leg.far) {
                 actions.toLeg(leg.id, LegMessages.ack(id, (int) Math.max(1, message.sequence()), LegMessages.callId(id)));
                 actions.toLeg(leg.id, LegMessages.bye(id, LegEndings.NORMAL));
             }
@@ -644,13 +576,13 @@
             if (far.standing > 0) {
                 actions.log("died", "", far.name + ": " + reason + ", " + far.standing + " calls");
             }
-            cut(far, Long.MAX_VALUE);
+            standing.cut(at, far, Long.MAX_VALUE);
             unreachable(far);
         }
 
         @Override
         public void restarted(long at, Far far) {
-            cut(far, far.since);
+            standing.cut(at, far, far.since);
         }
 
         @Override
@@ -658,21 +590,6 @@
             reset(leg);
         }
 
-        private void cut(Far far, long before) {
-            if (far.standing == 0) {
-                return;
-            }
-            Leg leg = before == Long.MAX_VALUE ? exchanges.any(far) : null;
-            for (Map.Entry<Long, Standing> each : List.copyOf(standing.entrySet())) {
-                if (each.getValue().far == far && each.getValue().since < before) {
-                    if (leg != null) {
-                        // It may only hang: what its callers were told is over must not stand on there.
-                        actions.toLeg(leg.id, LegMessages.bye(each.getKey(), LegEndings.CUT));
-                    }
-                    over(each.getKey(), each.getValue(), LegEndings.CUT);
-                }
-            }
-        }
     }
 
     // ---- the list, peers, probes
@@ -753,15 +670,11 @@
 
     private void answered(long id, CallerMessage message) {
         Held it = held.remove(id);
-        finish(id);
+        standing.finish(now, id);
         it.caller.open.remove(id);
         actions.toCaller(it.caller.id, message);
     }
 
-    private void finish(long id) {
-        finished.put(id, new Past(now, null, LegEndings.NORMAL));
-    }
-
     @Override
     public void subscribe() {
         // The list's poll runs all the time; there is nothing to start.
--- a/src/test/java/coralcove/platform/RouterCoreTest.java
+++ b/src/test/java/coralcove/platform/RouterCoreTest.java
@@ -409,6 +409,47 @@
         desk.matches("platform-told-standing");
     }
 
+    @Test
+    void aCallersReleaseWaitsForALegWhereNoneIsUp() {
+        // It was dropped, and the call stood on at its exchange, circuits and all.
+        stands(1, 0x64, 1);
+        desk.down(1, Down.BROKEN);
+        desk.down(3, Down.BROKEN);
+        desk.caller(1, CallerMessage.withCause(CallerMessage.RELEASE, 0x64, 16));
+        assertThat(count("BYE")).isZero();
+        desk.to(200);
+        desk.allUp();
+        assertThat(count("BYE sip:0000000000000064@net")).isEqualTo(1);
+    }
+
+    @Test
+    void aCallToldToStandAtAnExchangeThatIsNotListedYetIsKeptUntilTheListIsKnown() {
+        // A restarted router cut it: the exchange had started after the list of its configuration was written.
+        for (boolean listed : new boolean[] {true, false}) {
+            PlatformDesk cold = new PlatformDesk();
+            cold.core.callerOpened(cold.now(), 1);
+            cold.core.bulletin(cold.now(), new Bulletin(1, List.of(new Bulletin.Event(1, true,
+                    List.of(PlatformDesk.entry("s-01", 1, Bulletin.State.IN_SERVICE))))));
+            cold.caller(1, CallerMessage.of(CallerMessage.SET_UP, 0x65).add(CallerMessage.SERVICE, "lookup")
+                    .add(CallerMessage.NUMBER, "7f3a9c21e0b4d655")
+                    .add(CallerMessage.FIGURES, "dest:2;width:1;via:-1;at:s-02"));
+            cold.allUp();
+            cold.to(500);
+            assertThat(cold.messages).noneMatch(each -> each.contains("release 65"));
+            cold.list(2, true, PlatformDesk.entry("s-01", 1, Bulletin.State.IN_SERVICE),
+                    PlatformDesk.entry(listed ? "s-02" : "s-03", 2, Bulletin.State.IN_SERVICE));
+            cold.allUp();
+            assertThat(cold.messages.stream().filter(each -> each.equals("caller 1 release 65 cause 41")).count())
+                    .isEqualTo(listed ? 0 : 1);
+            if (listed) {
+                long leg = cold.addresses.entrySet().stream().filter(each -> each.getValue().equals("10.1.0.2:5080"))
+                        .findFirst().orElseThrow().getKey();
+                cold.leg(leg, PlatformDesk.bye(0x65, 16));
+                assertThat(cold.messages).contains("caller 1 release 65 cause 16");
+            }
+        }
+    }
+
     @Test
     void newsOfACallWaitsForACallersConnection() {
         stands(1, 0x71, 1);
