--- a/src/main/java/coralcove/platform/Exchanges.java
+++ b/src/main/java/coralcove/platform/Exchanges.java
@@ -31,6 +31,11 @@
      * rest is for the news to be heard. Not sooner: what is cut off for some seconds has its calls when it comes back.
      */
     private static final long MUTE = 6_500_000;
+    /**
+     * The same where it has said nothing since this router started: calls that it is told to stand there may have ended while
+     * nobody could be told, and an exchange that lives reports as soon as a leg is up.
+     */
+    private static final long FIRST_WORD = 3_000_000;
     /** µs after an exchange is told gone in which its legs still may say something. */
     private static final long GONE_SAYS = 3_000_000;
     /** Refused tries in a row, with no leg up, from which an exchange is dead: one can be a process that starts. */
@@ -70,6 +75,7 @@
         long since;
         final List<Leg> legs = new ArrayList<>();
         long heardAt;
+        boolean spoke;
         long triedAt;
         long testedAt;
         int tests;
@@ -306,6 +312,7 @@
         leg.heardAt = now;
         leg.partialSince = 0;
         leg.far.heardAt = now;
+        leg.far.spoke = true;
         leg.far.wait = AGAIN_FIRST;
     }
 
@@ -360,7 +367,7 @@
             if (far.standing > 0) {
                 test(now, far);
             }
-            if (far.standing > 0 && now - far.heardAt > MUTE) {
+            if (far.standing > 0 && now - far.heardAt > (far.spoke ? MUTE : FIRST_WORD)) {
                 listener.died(now, far, "mute");
             }
             if (far.standing > 0 && far.phase == Phase.GONE && now - Math.max(far.goneAt, far.heardAt) > GONE_SAYS) {
--- a/src/test/java/coralcove/platform/RouterCoreTest.java
+++ b/src/test/java/coralcove/platform/RouterCoreTest.java
@@ -409,6 +409,32 @@
         desk.matches("platform-told-standing");
     }
 
+    @Test
+    void aRestartedRouterDoesNotWaitLongForAnExchangeThatHangsSinceBefore() {
+        // Its calls may have ended before the start: 6.5 s from then on are too late for them.
+        PlatformDesk cold = new PlatformDesk();
+        cold.core.callerOpened(cold.now(), 1);
+        cold.list(1, true, PlatformDesk.entry("s-01", 1, Bulletin.State.IN_SERVICE),
+                PlatformDesk.entry("s-02", 2, Bulletin.State.IN_SERVICE));
+        for (long call = 1; call <= 2; call++) {
+            cold.caller(1, CallerMessage.of(CallerMessage.SET_UP, 0x66 + call).add(CallerMessage.SERVICE, "lookup")
+                    .add(CallerMessage.NUMBER, "7f3a9c21e0b4d655")
+                    .add(CallerMessage.FIGURES, "dest:1;width:1;via:-1;at:s-0" + call));
+        }
+        for (int ms = 50; ms <= 3_500; ms += 50) {
+            cold.to(ms);
+            for (long leg : cold.opening.toArray(new Long[0])) {
+                // The first takes connections and says nothing; the other reports.
+                cold.opening.remove(leg);
+                cold.core.legUp(cold.now(), leg);
+                if (cold.addresses.get(leg).equals("10.1.0.2:5080")) {
+                    cold.notify(leg, "x0:40;x1:40");
+                }
+            }
+        }
+        assertThat(cold.messages).contains("caller 1 release 67 cause 41").noneMatch(each -> each.contains("release 68"));
+    }
+
     @Test
     void aCallersReleaseWaitsForALegWhereNoneIsUp() {
         // It was dropped, and the call stood on at its exchange, circuits and all.
