Close no connection of who has a call for a crowd, and tell a release that is not heard on the next one

News.again looked once, 0.3 s later, for one that hears, and then never. Ruled out: exchanges' releases read late (0 to 2 ms in the queue), releases told and heard late (none over 0.3 s in the trace).

Change: who has had a call is spared like who has heard of one, and told before who only tested; a release that is not heard in 0.3 s is told on another connection, three more at most. Two tests, seen failing without.

--- a/src/main/java/coralcove/platform/Callers.java
+++ b/src/main/java/coralcove/platform/Callers.java
@@ -36,6 +36,8 @@
         boolean known;
         /** Has said to have heard a release: news told on it is heard again. */
         boolean hearing;
+        /** Has had a call: its release is looked for on this connection. */
+        boolean called;
         long partialSince;
         /** When it last sent something, or was opened. */
         long readAt;
@@ -51,6 +53,7 @@
     private final Map<Long, Caller> callers = new LinkedHashMap<>();
     private final LinkedHashSet<Long> known = new LinkedHashSet<>();
     private final LinkedHashSet<Long> hearing = new LinkedHashSet<>();
+    private final LinkedHashSet<Long> calling = new LinkedHashSet<>();
     /** Connections marked for closing, and when. */
     private final Map<Long, Long> doomed = new LinkedHashMap<>();
 
@@ -78,6 +81,7 @@
     Caller closed(long id) {
         known.remove(id);
         hearing.remove(id);
+        calling.remove(id);
         return callers.remove(id);
     }
 
@@ -94,19 +98,30 @@
         hearing.add(caller.id);
     }
 
+    /** It has a call: set one up, or told of one that stands. */
+    void calling(Caller caller) {
+        caller.called = true;
+        calling.remove(caller.id);
+        calling.add(caller.id);
+    }
+
     /**
-     * The connection of a call's set-up if it is still open, else the last that said to have heard a release, else the last
-     * that sent something; null for none. Strangers that test by hundreds and stay hear nothing.
+     * The connection of a call's set-up if it is still open, else the last that said to have heard a release, else the last that
+     * has had a call, else the last that sent something; null for none, and none that was told before. Strangers that test by
+     * hundreds and stay hear nothing.
      */
-    Caller forNews(long first) {
-        Caller own = callers.get(first);
-        return own != null ? own : last(hearing.isEmpty() ? known : hearing);
+    Caller forNews(long first, Set<Long> told) {
+        Caller own = told.contains(first) ? null : callers.get(first);
+        for (LinkedHashSet<Long> ids : List.of(hearing, calling, known)) {
+            own = own == null ? last(ids, told) : own;
+        }
+        return own;
     }
 
-    private Caller last(LinkedHashSet<Long> ids) {
+    private Caller last(LinkedHashSet<Long> ids, Set<Long> told) {
         Long last = null;
         for (Long id : ids) {
-            last = id;
+            last = told.contains(id) ? last : id;
         }
         return last == null ? null : callers.get(last);
     }
@@ -133,11 +148,11 @@
         return found;
     }
 
-    /** The oldest that never heard of a call, or, past their share, what was silent longest; two at most. */
+    /** The oldest that never had or heard of a call, or, past their share, what was silent longest; two at most. */
     List<Caller> idlest(long now) {
         List<Caller> found = new ArrayList<>();
         for (Caller caller : callers.values()) {
-            if (found.size() < 2 && !caller.hearing && caller.open.isEmpty() && now - caller.readAt > JUST_CAME) {
+            if (found.size() < 2 && !caller.hearing && !caller.called && caller.open.isEmpty() && now - caller.readAt > JUST_CAME) {
                 found.add(caller);
             }
         }
--- a/src/main/java/coralcove/platform/News.java
+++ b/src/main/java/coralcove/platform/News.java
@@ -3,7 +3,9 @@
 import coralcove.platform.Callers.Caller;
 import coralcove.platform.caller.CallerMessage;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
+import java.util.Set;
 
 /**
  * What callers are told of calls that stood. It goes on the connection of the set-up, or another, or waits for one. Callers say
@@ -12,6 +14,8 @@
 final class News {
     /** µs after which a release that was not heard is told elsewhere: two fit into the second that is given. */
     private static final long UNHEARD = 300_000;
+    /** Connections on which one release is told again at most. */
+    private static final int MOST_TOLD = 3;
     /** Releases on one connection that its caller has not said to have heard, at most; it may say nothing. */
     private static final int MOST_UNHEARD = 100;
     /** Releases that wait for a caller's connection at most. */
@@ -30,29 +34,32 @@
 
     /** {@code caller} is the connection of the set-up, 0 where it is gone or not known. */
     void tell(long now, long caller, CallerMessage message) {
-        Caller to = callers.forNews(caller);
+        tell(now, caller, message, new HashSet<>());
+    }
+
+    private void tell(long now, long caller, CallerMessage message, Set<Long> told) {
+        Caller to = callers.forNews(caller, told);
         if (to != null) {
             to.unheard.put(message.call(), message);
             if (to.unheard.size() > MOST_UNHEARD) {
                 to.unheard.remove(to.unheard.keySet().iterator().next());
             }
             actions.toCaller(to.id, message);
-            if (!to.hearing) {
-                timers.at(now + UNHEARD, moment -> again(moment, to, message));
+            told.add(to.id);
+            if (told.size() <= MOST_TOLD) {
+                timers.at(now + UNHEARD, moment -> again(moment, to, message, told));
             }
-        } else if (waiting.size() < MOST_WAITING) {
+        } else if (told.isEmpty() && waiting.size() < MOST_WAITING) {
             waiting.add(message);
         }
     }
 
-    /** Told to one that was never known to hear, and not heard: told again to one that does. */
-    private void again(long now, Caller to, CallerMessage message) {
-        if (callers.get(to.id) == to && !to.hearing && to.unheard.containsKey(message.call())) {
-            Caller other = callers.forNews(0);
-            if (other != null && other.hearing) {
-                to.unheard.remove(message.call());
-                tell(now, 0, message);
-            }
+    /** Not heard though its connection is open: a stranger's, or one that nobody reads. It is told on another. */
+    private void again(long now, Caller to, CallerMessage message, Set<Long> told) {
+        if (callers.get(to.id) == to && to.unheard.containsKey(message.call())
+                && callers.forNews(0, told) != null) {
+            to.unheard.remove(message.call());
+            tell(now, 0, message, told);
         }
     }
 
--- a/src/main/java/coralcove/platform/RouterCore.java
+++ b/src/main/java/coralcove/platform/RouterCore.java
@@ -230,6 +230,7 @@
         long id = setUp.call();
         if (setUp.standsAt() != null) {
             callers.useful(caller);
+            callers.calling(caller);
             if (!held.containsKey(id)) {
                 standing.told(now, id, setUp.standsAt(), caller.id, listAnswered);
             }
@@ -246,6 +247,7 @@
             return;
         }
         callers.useful(caller);
+        callers.calling(caller);
         tally.taken++;
         long limit = stamp + setUp.waitMs() * 1000;
         if (held.size() >= settings.mostOpen() || standing.full()
--- a/src/test/java/coralcove/platform/RouterCoreTest.java
+++ b/src/test/java/coralcove/platform/RouterCoreTest.java
@@ -234,6 +234,20 @@
         assertThat(small.closedCallers).allMatch(id -> id <= 58);
     }
 
+    @Test
+    void aCrowdOfStrangersTakesNoConnectionOfWhoHasACall() {
+        // Who had a call and had not heard of one yet was closed like a stranger, and its release had nowhere to go.
+        stands(1, 0x42, 1);
+        for (long id = 5; id <= 7; id++) {
+            desk.core.callerOpened(desk.now(), id);
+            desk.caller(id, CallerMessage.withCause(CallerMessage.TEST, 7, 0));
+        }
+        desk.to(200);
+        desk.core.crowded(desk.now());
+        desk.core.crowded(desk.now());
+        assertThat(desk.closedCallers).containsExactly(5L, 6L, 7L);
+    }
+
     @Test
     void nearTheBoundTwoOfNoUseGoForEachThatComes() {
         PlatformDesk small = new PlatformDesk(100);
@@ -528,6 +542,29 @@
         assertThat(count("caller 6 release 7a")).isEqualTo(1);
     }
 
+    @Test
+    void newsGoesToWhoHasHadACallBeforeStrangersAndToTheNextWhileItIsNotHeard() {
+        // Soon after the start nobody was known to hear: a stranger that tests and stays was told, and nobody after it.
+        stands(1, 0x7b, 1);
+        stands(2, 0x7c, 1);
+        for (long id = 5; id <= 9; id++) {
+            desk.core.callerOpened(desk.now(), id);
+            desk.caller(id, CallerMessage.withCause(CallerMessage.TEST, 7, 0));
+        }
+        desk.core.callerClosed(desk.now(), 1);
+        desk.leg(legOf(0x7b), PlatformDesk.bye(0x7b, 16));
+        assertThat(count("caller 2 release 7b cause 16")).isEqualTo(1);
+        desk.to(290);
+        assertThat(count("release 7b")).isEqualTo(1);
+        desk.to(350);
+        assertThat(count("caller 9 release 7b cause 16")).isEqualTo(1);
+        desk.to(650);
+        assertThat(count("caller 8 release 7b cause 16")).isEqualTo(1);
+        desk.caller(8, CallerMessage.of(CallerMessage.RELEASE_HEARD, 0x7b));
+        desk.to(3_000);
+        assertThat(count("release 7b")).isEqualTo(3);
+    }
+
     @Test
     void aReleaseOfACallFromBeforeTheStartIsPassedOnOnce() {
         desk.core.callerOpened(desk.now(), 1);
