--- a/src/main/java/coralcove/platform/Exchanges.java
+++ b/src/main/java/coralcove/platform/Exchanges.java
@@ -161,6 +161,11 @@
         return far;
     }
 
+    /** The first call that is told to stand there: only from now on it is listened for. */
+    void awaited(long now, Far far) {
+        far.heardAt = far.spoke || far.standing > 0 ? far.heardAt : now;
+    }
+
     /** Takes one event of the bulletin; the lines that the module is told. */
     List<Exchange> roster(long now, Bulletin.Event event) {
         List<Exchange> told = new ArrayList<>();
@@ -373,7 +378,8 @@
             if (far.standing > 0 && far.phase == Phase.GONE && now - Math.max(far.goneAt, far.heardAt) > GONE_SAYS) {
                 listener.died(now, far, "gone");
             }
-            if ((far.phase == Phase.GONE || far.address == null) && far.standing == 0 && far.legs.stream().allMatch(l -> l.invites == 0)) {
+            boolean unlisted = far.phase == Phase.GONE || far.address == null;
+            if (unlisted && far.standing == 0 && far.legs.stream().allMatch(leg -> leg.invites == 0)) {
                 closeAll(now, far, "gone");
                 byName.remove(far.name);
                 byId.remove(far.id);
--- a/src/main/java/coralcove/platform/StandingCalls.java
+++ b/src/main/java/coralcove/platform/StandingCalls.java
@@ -96,6 +96,7 @@
             return;
         }
         tally.toldStanding++;
+        exchanges.awaited(now, far);
         stands(now, id, far, caller);
     }
 
--- a/src/test/java/coralcove/platform/RouterCoreTest.java
+++ b/src/test/java/coralcove/platform/RouterCoreTest.java
@@ -449,6 +449,23 @@
         assertThat(cold.messages).contains("caller 1 release 67 cause 41").noneMatch(each -> each.contains("release 68"));
     }
 
+    @Test
+    void anExchangeThatWasNotListenedForHasItsFirstWordFromWhenACallIsTold() {
+        // One that drains has no leg until a call is told to stand there; counted from the start its time was over by then.
+        PlatformDesk cold = new PlatformDesk();
+        cold.list(1, true, PlatformDesk.entry("s-01", 1, Bulletin.State.TERMINATING));
+        cold.to(4_000);
+        cold.core.callerOpened(cold.now(), 1);
+        cold.caller(1, CallerMessage.of(CallerMessage.SET_UP, 0x69).add(CallerMessage.SERVICE, "lookup")
+                .add(CallerMessage.NUMBER, "7f3a9c21e0b4d655")
+                .add(CallerMessage.FIGURES, "dest:1;width:1;via:-1;at:s-01"));
+        cold.to(4_100);
+        cold.allUp();
+        cold.to(6_000);
+        assertThat(cold.messages).noneMatch(each -> each.contains("release 69"));
+        assertThat(cold.core.counts()).contains("standing 1");
+    }
+
     @Test
     void aCallersReleaseWaitsForALegWhereNoneIsUp() {
         // It was dropped, and the call stood on at its exchange, circuits and all.
