--- a/src/main/java/coralcove/platform/Exchanges.java
+++ b/src/main/java/coralcove/platform/Exchanges.java
@@ -53,6 +53,7 @@
         final long openedAt;
         final StreamFramer framer = new StreamFramer(MOST_BYTES);
         boolean up;
+        long upAt;
         /** Of no use for new INVITEs: one on it was not answered, or a message on it does not end. */
         boolean spent;
         long heardAt;
@@ -198,8 +199,9 @@
         if (since > far.since) {
             far.since = since;
             listener.restarted(now, far);
-            // Those of the process before say nothing more, and a set-up on one would be lost.
-            List.copyOf(far.legs).stream().filter(leg -> leg.openedAt < since).forEach(leg -> close(now, leg, "restarted"));
+            // Those of the process before say nothing more, and a set-up on one would be lost. One that came up since is the new one's.
+            List.copyOf(far.legs).stream().filter(leg -> leg.up && leg.upAt < since)
+                    .forEach(leg -> close(now, leg, "restarted"));
         }
         if (moved) {
             closeAll(now, far, "moved");
@@ -298,6 +300,7 @@
 
     void up(long now, Leg leg) {
         leg.up = true;
+        leg.upAt = now;
         leg.heardAt = now;
         Far far = leg.far;
         far.reached = true;
--- a/src/test/java/coralcove/platform/RouterCoreTest.java
+++ b/src/test/java/coralcove/platform/RouterCoreTest.java
@@ -361,6 +361,23 @@
         assertThat(legOf(0x58)).isGreaterThan(4);
     }
 
+    @Test
+    void aLegThatCameUpSinceTheNewStartStays() {
+        // Tried while the machine was away, it is the new process's; with it went what was out and what came on it.
+        desk.down(1, Down.BROKEN);
+        desk.down(3, Down.BROKEN);
+        desk.to(250);
+        List<Long> tried = List.copyOf(desk.opening);
+        assertThat(tried).isNotEmpty();
+        desk.to(300);
+        long since = desk.now() / 1000;
+        desk.to(400);
+        desk.allUp();
+        desk.core.bulletin(desk.now(), new Bulletin(2, List.of(new Bulletin.Event(2, false, List.of(new Bulletin.Entry("s-01",
+                "10.1.0.1:5080", 1, Bulletin.State.IN_SERVICE, since))))));
+        assertThat(desk.closedLegs).doesNotContainAnyElementsOf(tried);
+    }
+
     @Test
     void whereTestsAreNotAllowedNoneIsSent() {
         PlatformDesk plain = new PlatformDesk(256, false);
