Say once how a standing call ends and how the list's socket is looked up; fold the start of socket tests

Read over: StandingCalls.callerReleases and over did the same four steps, BulletinConnection looked its socket up twice by the same six lines, ServeTest began six tests alike, and RouterCore kept an import. No behaviour changes; the tests keep their assertions. All tests of coralcove.platform pass, before the import went. Left: Trial, ServeDesk and BulletinTest each read an HTTP question by their own loop; Callers keeps hearing and called beside its sets.

--- a/src/main/java/coralcove/platform/RouterCore.java
+++ b/src/main/java/coralcove/platform/RouterCore.java
@@ -25,7 +25,6 @@
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.function.LongConsumer;
@@ -591,7 +590,6 @@
         public void spent(long at, Leg leg, String reason) {
             reset(leg);
         }
-
     }
 
     // ---- the list, peers, probes
--- a/src/main/java/coralcove/platform/StandingCalls.java
+++ b/src/main/java/coralcove/platform/StandingCalls.java
@@ -102,13 +102,10 @@
 
     /** Its caller ends it: the exchange hears so, at once or on the next leg. False where it does not stand. */
     boolean callerReleases(long now, long id, int cause) {
-        Call call = calls.remove(id);
+        Call call = calls.get(id);
         if (call == null) {
             return false;
         }
-        finish(now, id);
-        call.far.standing--;
-        tally.over++;
         Leg leg = exchanges.any(call.far);
         if (leg != null) {
             actions.toLeg(leg.id, LegMessages.bye(id, cause));
@@ -119,7 +116,7 @@
                 waiting.poll();
             }
         }
-        listener.over(now, id, call.far, Ending.OVER);
+        ended(now, id, call, Ending.OVER);
         return true;
     }
 
@@ -164,13 +161,17 @@
     }
 
     private void over(long now, long id, Call call, int cause) {
+        tally.cut += cause == LegEndings.NORMAL ? 0 : 1;
+        news.tell(now, call.caller, CallerMessage.withCause(CallerMessage.RELEASE, id, cause));
+        ended(now, id, call, LegEndings.released(cause));
+    }
+
+    private void ended(long now, long id, Call call, Ending ending) {
         calls.remove(id);
         finish(now, id);
         call.far.standing--;
         tally.over++;
-        tally.cut += cause == LegEndings.NORMAL ? 0 : 1;
-        news.tell(now, call.caller, CallerMessage.withCause(CallerMessage.RELEASE, id, cause));
-        listener.over(now, id, call.far, LegEndings.released(cause));
+        listener.over(now, id, call.far, ending);
     }
 
     /** This router has ended a session or call. */
--- a/src/main/java/coralcove/platform/bulletin/BulletinConnection.java
+++ b/src/main/java/coralcove/platform/bulletin/BulletinConnection.java
@@ -91,13 +91,7 @@
     private byte[] ask(InetSocketAddress address, String path) throws IOException {
         boolean whole = false;
         try {
-            Socket now;
-            synchronized (this) {
-                now = socket;
-            }
-            if (now == null) {
-                throw dropped();
-            }
+            Socket now = current();
             byte[] question = ("GET " + path + " HTTP/1.1\r\nHost: " + address.getHostString() + ":" + address.getPort()
                     + "\r\nAccept: application/json\r\n\r\n").getBytes(StandardCharsets.US_ASCII);
             int first;
@@ -221,14 +215,7 @@
     /** Whether there is a further byte; each wait for one has what is left of the whole, not a limit of its own. */
     private boolean more() throws IOException {
         if (at == held) {
-            Socket now;
-            synchronized (this) {
-                now = socket;
-            }
-            if (now == null) {
-                throw dropped();
-            }
-            now.setSoTimeout(left());
+            current().setSoTimeout(left());
             at = 0;
             held = 0;
             int got = in.read(buffer);
@@ -248,6 +235,13 @@
         return (int) left;
     }
 
+    private synchronized Socket current() throws IOException {
+        if (socket == null) {
+            throw dropped();
+        }
+        return socket;
+    }
+
     private static IOException dropped() {
         return new IOException("bulletin: the question was dropped");
     }
--- a/src/test/java/coralcove/platform/live/ServeDesk.java
+++ b/src/test/java/coralcove/platform/live/ServeDesk.java
@@ -18,7 +18,9 @@
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.ArrayList;
 import java.util.Arrays;
+import java.util.List;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
@@ -127,6 +129,7 @@
     final Path file;
     final Serve serve;
     final Thread router;
+    final List<LegSide> legs = new ArrayList<>();
     private final PrintStream out = new PrintStream(log, true, StandardCharsets.UTF_8);
 
     /** With one exchange, of number 1, at this address. */
@@ -175,6 +178,32 @@
         return leg;
     }
 
+    /** Takes so many legs more. */
+    void legs(ServerSocket exchange, int count) throws IOException {
+        for (int i = 0; i < count; i++) {
+            legs.add(leg(exchange));
+        }
+    }
+
+    /** A caller to a router that has its list and both legs, and is ready. */
+    CallerSide served(ServerSocket exchange) throws Exception {
+        told(bulletin, 1);
+        legs(exchange, 2);
+        return ready();
+    }
+
+    /** The leg that an INVITE came on. */
+    LegSide invited() {
+        while (true) {
+            for (LegSide leg : legs) {
+                if (!leg.got.isEmpty()) {
+                    return leg;
+                }
+            }
+            Thread.onSpinWait();
+        }
+    }
+
     CallerSide caller() throws Exception {
         while (true) {
             try {
--- a/src/test/java/coralcove/platform/live/ServeTest.java
+++ b/src/test/java/coralcove/platform/live/ServeTest.java
@@ -31,12 +31,9 @@
     void anAnswerAfterSigtermReachesItsCallerAndTheRouterEnds() throws Exception {
         try (ServerSocket exchange = ServeDesk.server();
                 ServeDesk desk = new ServeDesk(dir, 256, ServeDesk.address(exchange))) {
-            ServeDesk.told(desk.bulletin, 1);
-            LegSide leg = ServeDesk.leg(exchange);
-            LegSide other = ServeDesk.leg(exchange);
-            CallerSide caller = desk.ready();
+            CallerSide caller = desk.served(exchange);
             caller.say(ServeDesk.setUp(0xa1, 5_000));
-            LegSide used = taken(leg, other);
+            LegSide used = desk.invited();
             SipMessage invite = used.next("INVITE");
             desk.serve.drain();
             assertThat(caller.test(7)).isZero();
@@ -66,10 +63,9 @@
             caller.test(3);
             caller.test(4);
             try (ServerSocket exchange = new ServerSocket(port, 50, at.getAddress())) {
-                LegSide leg = ServeDesk.leg(exchange);
-                LegSide other = ServeDesk.leg(exchange);
+                desk.legs(exchange, 2);
                 caller.say(ServeDesk.setUp(0xb3, 5_000));
-                LegSide used = taken(leg, other);
+                LegSide used = desk.invited();
                 SipMessage first = used.next("INVITE");
                 assertThat(LegMessages.call(first)).isEqualTo(0xb3);
                 used.say(ServeDesk.ok(first));
@@ -82,12 +78,9 @@
     void anAnswerThatCrossesACancelIsAcknowledgedAndReleased() throws Exception {
         try (ServerSocket exchange = ServeDesk.server();
                 ServeDesk desk = new ServeDesk(dir, 256, ServeDesk.address(exchange))) {
-            ServeDesk.told(desk.bulletin, 1);
-            LegSide leg = ServeDesk.leg(exchange);
-            LegSide other = ServeDesk.leg(exchange);
-            CallerSide caller = desk.ready();
+            CallerSide caller = desk.served(exchange);
             caller.say(ServeDesk.setUp(0xc1, 5_000));
-            LegSide used = taken(leg, other);
+            LegSide used = desk.invited();
             SipMessage invite = used.next("INVITE");
             caller.say(CallerMessage.withCause(CallerMessage.RELEASE, 0xc1, 16));
             used.next("CANCEL");
@@ -103,12 +96,9 @@
     void anAnswerAndItsReleaseInOneReadAreToldInOrderAndASecondCopyIsNot() throws Exception {
         try (ServerSocket exchange = ServeDesk.server();
                 ServeDesk desk = new ServeDesk(dir, 256, ServeDesk.address(exchange))) {
-            ServeDesk.told(desk.bulletin, 1);
-            LegSide leg = ServeDesk.leg(exchange);
-            LegSide other = ServeDesk.leg(exchange);
-            CallerSide caller = desk.ready();
+            CallerSide caller = desk.served(exchange);
             caller.say(ServeDesk.setUp(0xd1, 5_000));
-            LegSide used = taken(leg, other);
+            LegSide used = desk.invited();
             SipMessage invite = used.next("INVITE");
             used.say(ServeDesk.ok(invite), ServeDesk.ok(invite), LegMessages.bye(0xd1, 16));
             caller.next(CallerMessage.ANSWER);
@@ -122,12 +112,9 @@
     void anInviteWhoseLegIsResetBeforeAnAnswerGetsItsFinalAnswerAndTheReleaseWaitIsKept() throws Exception {
         try (ServerSocket exchange = ServeDesk.server();
                 ServeDesk desk = new ServeDesk(dir, 256, ServeDesk.address(exchange))) {
-            ServeDesk.told(desk.bulletin, 1);
-            LegSide leg = ServeDesk.leg(exchange);
-            LegSide other = ServeDesk.leg(exchange);
-            CallerSide caller = desk.ready();
+            CallerSide caller = desk.served(exchange);
             caller.say(ServeDesk.setUp(0xe1, 5_000));
-            LegSide used = taken(leg, other);
+            LegSide used = desk.invited();
             used.next("INVITE");
             used.reset();
             assertThat(caller.next(CallerMessage.RELEASE).call()).isEqualTo(0xe1);
@@ -139,10 +126,7 @@
         try (ServerSocket exchange = ServeDesk.server(); ServerSocket moved = ServeDesk.server();
                 ServerSocket last = ServeDesk.server();
                 ServeDesk desk = new ServeDesk(dir, 256, ServeDesk.address(exchange))) {
-            ServeDesk.told(desk.bulletin, 1);
-            ServeDesk.leg(exchange);
-            ServeDesk.leg(exchange);
-            CallerSide caller = desk.ready();
+            CallerSide caller = desk.served(exchange);
             String whole = desk.configuration(256, ServeDesk.address(exchange), moved);
             Files.writeString(desk.file, whole.substring(0, whole.length() / 2));
             desk.serve.reload();
@@ -174,22 +158,21 @@
                 ServeDesk desk = new ServeDesk(dir, 100, ServeDesk.address(exchange))) {
             List<Socket> idle = new ArrayList<>();
             Socket list = desk.bulletin.accept();
-            LegSide leg = ServeDesk.leg(exchange);
-            LegSide other = ServeDesk.leg(exchange);
+            desk.legs(exchange, 2);
             assertThat(desk.front()).isZero();
             for (int i = 0; i < 200; i++) {
                 idle.add(new Socket(desk.listen.getAddress(), desk.listen.getPort()));
             }
             // The bulletin was down until now, and the legs break: both come again beside the crowd.
             ServeDesk.told(list, 1);
-            leg.reset();
-            LegSide again = ServeDesk.leg(exchange);
+            desk.legs.remove(0).reset();
+            desk.legs(exchange, 1);
             while (desk.front() != 1) {
                 Thread.onSpinWait();
             }
             CallerSide late = desk.caller();
             late.say(ServeDesk.setUp(0xf2, 9_000));
-            LegSide used = taken(again, other);
+            LegSide used = desk.invited();
             used.say(ServeDesk.ok(used.next("INVITE")));
             assertThat(late.next(CallerMessage.ANSWER).call()).isEqualTo(0xf2);
             for (Socket socket : idle) {
@@ -202,16 +185,13 @@
     void aSetUpInPiecesAcrossSigtermIsAnswered() throws Exception {
         try (ServerSocket exchange = ServeDesk.server();
                 ServeDesk desk = new ServeDesk(dir, 256, ServeDesk.address(exchange))) {
-            ServeDesk.told(desk.bulletin, 1);
-            LegSide leg = ServeDesk.leg(exchange);
-            LegSide other = ServeDesk.leg(exchange);
-            CallerSide caller = desk.ready();
+            CallerSide caller = desk.served(exchange);
             byte[] bytes = ServeDesk.setUp(0xf3, 5_000).bytes();
             caller.socket.getOutputStream().write(bytes, 0, 20);
             desk.serve.drain();
             desk.logged("drain");
             caller.socket.getOutputStream().write(bytes, 20, bytes.length - 20);
-            LegSide used = taken(leg, other);
+            LegSide used = desk.invited();
             used.say(ServeDesk.ok(used.next("INVITE")));
             assertThat(caller.next(CallerMessage.ANSWER).call()).isEqualTo(0xf3);
         }
@@ -228,12 +208,4 @@
         early.reload();
         assertThat(done.toString()).isEqualTo("reloaded drained reloaded ");
     }
-
-    /** The leg that the INVITE came on. */
-    private static LegSide taken(LegSide one, LegSide other) {
-        while (one.got.isEmpty() && other.got.isEmpty()) {
-            Thread.onSpinWait();
-        }
-        return one.got.isEmpty() ? other : one;
-    }
 }
