Review case 2: releases that wait at a restart are lost on the front's test

All releases that wait for a caller are sent on the first connection with a valid message, which is the front's test. Only 100 are remembered; the others are forgotten when the front closes, and a caller's later report of the call is ignored as its release counts as passed on.

Nothing outside review/ is changed.

--- a/review/standins/Exchange.java
+++ b/review/standins/Exchange.java
@@ -14,6 +14,9 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.locks.LockSupport;
 
 /**
@@ -22,7 +25,18 @@
  * each new connection and when they change.
  */
 final class Exchange {
-    private static final int CIRCUITS = 60;
+    /** Circuits of the group; the sessions of one exchange keep 130 to 160 busy. */
+    private static final int CIRCUITS = 160;
+
+    private static final ScheduledExecutorService TIMER =
+            Executors.newScheduledThreadPool(
+                    4,
+                    action -> {
+                        Thread thread = new Thread(action, "timer");
+                        thread.setDaemon(true);
+                        return thread;
+                    });
+
     private static final long SET_UP_MS = 20;
 
     /** A set-up that has come whole, and what became of it. */
@@ -39,6 +53,12 @@
 
         volatile String end;
 
+        /** When its release was last sent, or 0. */
+        volatile long releasedAt;
+
+        /** Whether a 200 to its release came. */
+        volatile boolean heard;
+
         Call(String id, long receivedAt, Peer peer) {
             this.id = id;
             this.receivedAt = receivedAt;
@@ -71,8 +91,8 @@
     /** Takes set-ups and answers none. */
     volatile boolean hangs;
 
-    /** Releases of calls that ended while no connection was open, sent on the next one. */
-    private final List<Call> undelivered = new ArrayList<>();
+    /** Releases that are sent on the next connection that opens. */
+    private final List<Call> forNext = new ArrayList<>();
 
     Exchange(Case played, String id, int number, long startedMs) throws IOException {
         this(played, id, number, startedMs, Case.freePort());
@@ -202,8 +222,8 @@
                 call.peer.open
                         ? call.peer
                         : peers.stream().filter(each -> each.open).findFirst().orElse(null);
+        forNext.add(call);
         if (peer == null) {
-            undelivered.add(call);
             played.log("exchange " + id + " call " + call.id + " ended, no connection is open");
         } else {
             peer.sendRelease(call);
@@ -265,6 +285,7 @@
 
         private void sendRelease(Call call) {
             played.log("exchange " + id + " releases call " + call.id);
+            call.releasedAt = Case.now();
             send(
                     "BYE sip:"
                             + call.id
@@ -304,8 +325,11 @@
                                 + peers.size()
                                 + " open");
                 sendReport();
-                undelivered.forEach(this::sendRelease);
-                undelivered.clear();
+                // A release is sent on the next connection opened too, unless the router has heard
+                // it and it is old.
+                forNext.removeIf(call -> call.heard && Case.now() - call.endedAt > 5_000);
+                forNext.forEach(this::sendRelease);
+                forNext.clear();
             }
             try {
                 DataInputStream in = new DataInputStream(socket.getInputStream());
@@ -381,7 +405,8 @@
                                     + " Answer-Within "
                                     + message.get("answer-within"));
                     if (!hangs) {
-                        Case.start("set-up", () -> answer(call, message, body));
+                        TIMER.schedule(
+                                () -> answer(call, message), SET_UP_MS, TimeUnit.MILLISECONDS);
                     }
                 }
                 case "CANCEL" -> {
@@ -406,13 +431,20 @@
                     }
                 }
                 case "OPTIONS" -> respond(message, "200 OK", new byte[0]);
-                default -> {}
+                default -> {
+                    if (message.getOrDefault("cseq", "").endsWith("BYE")) {
+                        synchronized (Exchange.this) {
+                            Call call = calls.get(callId);
+                            if (call != null) {
+                                call.heard = true;
+                            }
+                        }
+                    }
+                }
             }
         }
 
-        private void answer(Call call, Map<String, String> invite, byte[] body)
-                throws InterruptedException {
-            Case.sleep(SET_UP_MS);
+        private void answer(Call call, Map<String, String> invite) {
             synchronized (Exchange.this) {
                 if (call.endedAt > 0 || hangs || !open) {
                     return;
@@ -426,8 +458,7 @@
                                 .getBytes(StandardCharsets.US_ASCII));
                 report();
             }
-            Case.sleep(holdMs);
-            release(call);
+            TIMER.schedule(() -> release(call), holdMs, TimeUnit.MILLISECONDS);
         }
     }
 }
