Cancel a session's timers when it ends: refused set-ups with long waits filled the heap

After some 580,000 refusals the router answers nobody, and 85 set-ups of usual callers are lost.

Cause: RouterCore.handleSetUp scheduled a timer at the caller's deadline, and Timers could not cancel: the timer of a session that had its answer stayed until then. Timers of INVITEs, of the release wait and of probes stayed likewise.

Change: PendingCalls owns the sessions without a final answer with their INVITE and timers, and takes the timers along when a session is removed; RouterCore loses its two nested classes and its copies of that bookkeeping (1,025 to 972 lines). The probe's timer and the policy's wake-up, which is replaced by the next one, are cancelled too. Left: the retry of a release, 0.3 s.

Why this works: timers are now bounded by the sessions in hand (4,000), whatever the waits are.

Tests, both seen failing on the program before: RouterCoreTest.cancelsAllTimersOfASessionThatHasEnded (1 timer too many after the first refusal), SessionRouterServerTest.keepsNoTimersOfRefusedSetUpsWithALongWait on real sockets (2,000 timers after 2,000 refusals, now 0).

--- a/src/main/java/coralcove/platform/RouterCore.java
+++ b/src/main/java/coralcove/platform/RouterCore.java
@@ -10,6 +10,8 @@
 import coralcove.platform.CallerConnections.CallerConnection;
 import coralcove.platform.Exchanges.ExchangeConnection;
 import coralcove.platform.Exchanges.RemoteExchange;
+import coralcove.platform.PendingCalls.Invite;
+import coralcove.platform.PendingCalls.PendingCall;
 import coralcove.platform.caller.CallerMessage;
 import coralcove.platform.caller.MalformedCallerMessageException;
 import coralcove.platform.caller.SetUpRequest;
@@ -27,7 +29,6 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.function.LongConsumer;
 
 /**
  * The platform's session router without sockets and clock: inputs come with their time, outputs go
@@ -69,44 +70,11 @@
     /** Number of invalid set-ups that are logged; further ones are only counted. */
     private static final int MAX_LOGGED_INVALID_SET_UPS = 20;
 
-    /** An INVITE of a session that waits for its final response, or for a connection. */
-    private static final class Invite {
-        final RemoteExchange exchange;
-        final long sentAt;
-        final long deadline;
-
-        /** The CSeq number: each INVITE of a session has its own. */
-        final int sequence;
-
-        /** The connection it was sent on; null until it is sent. */
-        ExchangeConnection connection;
-
-        Invite(RemoteExchange exchange, long sentAt, long deadline, int sequence) {
-            this.exchange = exchange;
-            this.sentAt = sentAt;
-            this.deadline = deadline;
-            this.sequence = sequence;
-        }
-    }
-
-    /** A session without a final answer. */
-    private static final class PendingSession {
-        final SetUpRequest setUp;
-        final CallerConnection caller;
-
-        /** The INVITE that has no final response yet, or null. */
-        Invite outstanding;
-
-        int inviteCount;
-
-        PendingSession(SetUpRequest setUp, CallerConnection caller) {
-            this.setUp = setUp;
-            this.caller = caller;
-        }
-    }
+    /** A load probe that waits for its response. */
+    private record Probe(RemoteExchange exchange, Timers.Timer timeout) {}
 
     /** A set-up that waits for its routing decision. */
-    private record UndecidedSetUp(PendingSession pending, Session session) {}
+    private record UndecidedSetUp(PendingCall pending, Session session) {}
 
     private final ServiceSettings settings;
     private final Actions actions;
@@ -114,9 +82,9 @@
     private final PendingSessions pendingSessions;
     private final Exchanges exchanges;
     private final CallerConnections callers;
-    private final Map<Long, PendingSession> pendingById = new HashMap<>();
     private final EstablishedCalls establishedCalls;
     private final Timers timers = new Timers();
+    private final PendingCalls pendingCalls = new PendingCalls(timers);
     private final ReleaseNotifier releaseNotifier;
     private final Drain drain = new Drain();
 
@@ -124,7 +92,7 @@
     private final ArrayDeque<UndecidedSetUp> undecidedSetUps = new ArrayDeque<>();
 
     /** Sessions whose next INVITE was decided by the routing policy but not sent yet. */
-    private final ArrayDeque<PendingSession> unsentInvites = new ArrayDeque<>();
+    private final ArrayDeque<PendingCall> unsentInvites = new ArrayDeque<>();
 
     /** Exchanges of cancelled INVITEs by call id: a 200 may have crossed the CANCEL. */
     private final Map<Long, RemoteExchange> cancelledInvites = EstablishedCalls.boundedMap();
@@ -132,8 +100,11 @@
     /** Broadcasts to peer routers, sent at the end of the round. */
     private final List<byte[]> peerMessages = new ArrayList<>();
 
-    /** Exchanges by the id of the load probe that waits for a response. */
-    private final Map<Long, RemoteExchange> probedExchanges = new HashMap<>();
+    /** Load probes that wait for a response, by id. */
+    private final Map<Long, Probe> probes = new HashMap<>();
+
+    /** The timer of the routing policy's next wake-up. */
+    private Timers.Timer wakeUp;
 
     private final long startedAt;
     private long now;
@@ -304,13 +275,13 @@
         if (setUp.establishedExchange() != null) {
             callers.markValidSender(caller);
             callers.markHadCall(caller);
-            if (!pendingById.containsKey(id)) {
+            if (pendingCalls.get(id) == null) {
                 establishedCalls.reportedByCaller(
                         now, id, setUp.establishedExchange(), caller.id, listAnswered);
             }
             return;
         }
-        PendingSession existing = pendingById.get(id);
+        PendingCall existing = pendingCalls.get(id);
         if (existing != null || establishedCalls.has(id)) {
             // Two set-ups with one id: the answer to one could be taken for the answer to the
             // other.
@@ -325,16 +296,14 @@
         callers.markHadCall(caller);
         counters.setUps++;
         long deadline = arrivedAt + setUp.waitMs() * 1000;
-        if (pendingById.size() >= settings.maxPendingSessions()
+        if (pendingCalls.size() >= settings.maxPendingSessions()
                 || establishedCalls.full()
                 || !drain.acceptsSetUps(now)) {
             counters.refused++;
             sendRelease(caller, id, CAUSE_CONGESTION);
             return;
         }
-        PendingSession pending = new PendingSession(setUp, caller);
-        pendingById.put(id, pending);
-        caller.pendingSessions.add(id);
+        PendingCall pending = pendingCalls.add(setUp, caller, deadline, this::callTimedOut);
         Session session =
                 new Session(
                         id,
@@ -349,7 +318,6 @@
                         setUp.redialledAfterCut(),
                         arrivedAt,
                         deadline);
-        schedule(deadline, time -> sessionTimedOut(id));
         undecidedSetUps.add(new UndecidedSetUp(pending, session));
     }
 
@@ -363,17 +331,16 @@
         boolean decided = false;
         while (!decided && !undecidedSetUps.isEmpty()) {
             UndecidedSetUp next = undecidedSetUps.poll();
-            decided = pendingById.get(next.session.id()) == next.pending;
+            decided = pendingCalls.contains(next.pending);
             if (decided) {
                 pendingSessions.add(now, next.session);
             }
         }
-        for (PendingSession pending = unsentInvites.poll();
+        for (PendingCall pending = unsentInvites.poll();
                 pending != null;
                 pending = unsentInvites.poll()) {
-            if (pendingById.get(pending.setUp.callId()) == pending
-                    && pending.outstanding != null
-                    && pending.outstanding.connection == null) {
+            Invite invite = pending.outstanding();
+            if (pendingCalls.contains(pending) && invite != null && invite.connection == null) {
                 sendOrConnect(pending);
             }
         }
@@ -385,33 +352,34 @@
     }
 
     /** Sends the outstanding INVITE, or requests a connection where none is up. */
-    private void sendOrConnect(PendingSession pending) {
-        ExchangeConnection connection = exchanges.pickForInvite(pending.outstanding.exchange);
+    private void sendOrConnect(PendingCall pending) {
+        RemoteExchange exchange = pending.outstanding().exchange;
+        ExchangeConnection connection = exchanges.pickForInvite(exchange);
         if (connection != null) {
             sendInvite(pending, connection);
         } else {
-            exchanges.requestConnection(now, pending.outstanding.exchange);
+            exchanges.requestConnection(now, exchange);
         }
     }
 
     /** The caller's time limit has expired: the session fails now, whatever it waits for. */
-    private void sessionTimedOut(long id) {
-        PendingSession pending = pendingById.get(id);
-        if (pending != null && pending.outstanding != null) {
-            inviteTimedOut(pending, pending.outstanding);
+    private void callTimedOut(PendingCall pending) {
+        if (pending.outstanding() != null) {
+            inviteTimedOut(pending);
         }
-        if (pendingById.get(id) == pending && pending != null) {
+        if (pendingCalls.contains(pending)) {
             counters.failed++;
-            pendingSessions.callerLeft(now, id);
+            pendingSessions.callerLeft(now, pending.id());
             sendFinalAnswer(
-                    id,
-                    CallerMessage.withCause(CallerMessage.RELEASE, id, CAUSE_NETWORK_OUT_OF_ORDER));
+                    pending.id(),
+                    CallerMessage.withCause(
+                            CallerMessage.RELEASE, pending.id(), CAUSE_NETWORK_OUT_OF_ORDER));
         }
     }
 
     private void handleCallerRelease(CallerConnection caller, CallerMessage message) {
         long id = message.callId();
-        PendingSession pending = pendingById.get(id);
+        PendingCall pending = pendingCalls.get(id);
         if (pending != null && pending.caller == caller) {
             callers.markValidSender(caller);
             abandon(id);
@@ -428,19 +396,16 @@
      * and an outstanding INVITE is cancelled.
      */
     private void abandon(long id) {
-        PendingSession pending = pendingById.remove(id);
+        PendingCall pending = pendingCalls.remove(id);
         if (pending == null) {
             return;
         }
         counters.abandoned++;
         establishedCalls.markFinished(now, id);
-        pending.caller.pendingSessions.remove(id);
         pendingSessions.callerLeft(now, id);
-        Invite invite = pending.outstanding;
+        Invite invite = pendingCalls.endInvite(pending);
         if (invite != null) {
-            pending.outstanding = null;
             if (invite.connection != null) {
-                invite.connection.outstandingInvites--;
                 sendCancel(pending, invite);
             }
             pendingSessions.inviteEnded(
@@ -456,7 +421,7 @@
     }
 
     /** Cancels an INVITE and remembers it, as a 200 may cross the CANCEL. */
-    private void sendCancel(PendingSession pending, Invite invite) {
+    private void sendCancel(PendingCall pending, Invite invite) {
         cancelledInvites.put(pending.setUp.callId(), invite.exchange);
         actions.sendToExchange(
                 invite.connection.id,
@@ -481,10 +446,8 @@
         }
         exchanges.connectionUp(now, connection);
         establishedCalls.connectionUp(connection);
-        for (PendingSession pending : List.copyOf(pendingById.values())) {
-            if (pending.outstanding != null
-                    && pending.outstanding.connection == null
-                    && pending.outstanding.exchange == connection.exchange) {
+        for (PendingCall pending : pendingCalls.all()) {
+            if (pending.waitsForConnectionTo(connection.exchange)) {
                 sendInvite(pending, connection);
             }
         }
@@ -585,10 +548,8 @@
     }
 
     private void handleBye(ExchangeConnection connection, long id, int cause) {
-        PendingSession pending = pendingById.get(id);
-        if (pending != null
-                && pending.outstanding != null
-                && pending.outstanding.connection == connection) {
+        PendingCall pending = pendingCalls.get(id);
+        if (pending != null && pending.isOutstandingOn(connection)) {
             endInvite(pending, InviteOutcome.RESET, RejectionCause.NONE, 0);
             return;
         }
@@ -609,12 +570,8 @@
         if (!message.cseqMethod().equals("INVITE")) {
             return;
         }
-        PendingSession pending = pendingById.get(id);
-        boolean awaited =
-                pending != null
-                        && pending.outstanding != null
-                        && pending.outstanding.connection == connection;
-        if (!awaited) {
+        PendingCall pending = pendingCalls.get(id);
+        if (pending == null || !pending.isOutstandingOn(connection)) {
             handleUnexpectedResponse(connection, id, message, pending);
             return;
         }
@@ -627,26 +584,21 @@
         actions.sendToExchange(
                 connection.id,
                 SignalingMessages.ack(
-                        id, pending.outstanding.sequence, pending.setUp.calledNumber()));
+                        id, pending.outstanding().sequence, pending.setUp.calledNumber()));
         if (message.status() >= 300) {
             InviteOutcomes.Outcome outcome = SipOutcomes.ofResponse(message);
             endInvite(pending, outcome.outcome(), outcome.cause(), outcome.retryAfter());
             return;
         }
-        pendingById.remove(id);
-        pending.caller.pendingSessions.remove(id);
-        connection.outstandingInvites--;
+        pendingCalls.remove(id);
+        long elapsed = arrivedAt - pendingCalls.endInvite(pending).sentAt;
         establishedCalls.add(now, id, connection.exchange, pending.caller.id);
-        counters.countEstablished(arrivedAt - pending.outstanding.sentAt);
+        counters.countEstablished(elapsed);
         actions.sendToCaller(
                 pending.caller.id,
                 CallerMessage.of(CallerMessage.ANSWER, id)
                         .add(CallerMessage.DESCRIPTION, message.body()));
-        pendingSessions.callEstablished(
-                now,
-                id,
-                connection.exchange.id,
-                Math.max(0, arrivedAt - pending.outstanding.sentAt));
+        pendingSessions.callEstablished(now, id, connection.exchange.id, Math.max(0, elapsed));
     }
 
     /**
@@ -654,7 +606,7 @@
      * one that crossed a CANCEL. Only the last kind is acknowledged, and its call released.
      */
     private void handleUnexpectedResponse(
-            ExchangeConnection connection, long id, SipMessage message, PendingSession pending) {
+            ExchangeConnection connection, long id, SipMessage message, PendingCall pending) {
         counters.unexpectedResponses++;
         if (message.status() < 300 && pending == null && !establishedCalls.has(id)) {
             if (cancelledInvites.get(id) == connection.exchange) {
@@ -671,14 +623,13 @@
         }
     }
 
-    private void sendInvite(PendingSession pending, ExchangeConnection connection) {
-        Invite invite = pending.outstanding;
+    private void sendInvite(PendingCall pending, ExchangeConnection connection) {
+        Invite invite = pending.outstanding();
         long withinMs = Math.floorDiv(invite.deadline - now, 1000L);
         if (withinMs < 1) {
             return;
         }
-        invite.connection = connection;
-        connection.outstandingInvites++;
+        invite.sentOn(connection);
         counters.invites++;
         actions.sendToExchange(
                 connection.id,
@@ -693,12 +644,8 @@
 
     /** Ends the outstanding INVITE without a call; the routing policy decides what follows. */
     private void endInvite(
-            PendingSession pending, InviteOutcome outcome, RejectionCause cause, long retryAfter) {
-        Invite invite = pending.outstanding;
-        pending.outstanding = null;
-        if (invite.connection != null) {
-            invite.connection.outstandingInvites--;
-        }
+            PendingCall pending, InviteOutcome outcome, RejectionCause cause, long retryAfter) {
+        Invite invite = pendingCalls.endInvite(pending);
         counters.countOutcome(outcome);
         pendingSessions.inviteEnded(
                 now,
@@ -713,8 +660,8 @@
 
     /** Ends all INVITEs that were sent on this connection as reset. */
     private void resetInvites(ExchangeConnection connection) {
-        for (PendingSession pending : List.copyOf(pendingById.values())) {
-            if (pending.outstanding != null && pending.outstanding.connection == connection) {
+        for (PendingCall pending : pendingCalls.all()) {
+            if (pending.isOutstandingOn(connection)) {
                 endInvite(pending, InviteOutcome.RESET, RejectionCause.NONE, 0);
             }
         }
@@ -722,19 +669,15 @@
 
     /** Ends the INVITEs that still wait for a connection to this exchange: none was sent. */
     private void failUnsentInvites(RemoteExchange exchange) {
-        for (PendingSession pending : List.copyOf(pendingById.values())) {
-            if (pending.outstanding != null
-                    && pending.outstanding.connection == null
-                    && pending.outstanding.exchange == exchange) {
+        for (PendingCall pending : pendingCalls.all()) {
+            if (pending.waitsForConnectionTo(exchange)) {
                 endInvite(pending, InviteOutcome.UNREACHABLE, RejectionCause.NONE, 0);
             }
         }
     }
 
-    private void inviteTimedOut(PendingSession pending, Invite invite) {
-        if (pendingById.get(pending.setUp.callId()) != pending || pending.outstanding != invite) {
-            return;
-        }
+    private void inviteTimedOut(PendingCall pending) {
+        Invite invite = pending.outstanding();
         if (invite.connection == null) {
             endInvite(pending, InviteOutcome.UNREACHABLE, RejectionCause.NONE, 0);
             return;
@@ -817,8 +760,10 @@
     }
 
     private void handleProbeResponse(long id, ExchangeConnection connection, SipMessage message) {
-        RemoteExchange exchange = probedExchanges.remove(id);
-        if (exchange != null && exchange == connection.exchange) {
+        Probe probe = probes.get(id);
+        if (probe != null && probe.exchange == connection.exchange) {
+            probes.remove(id);
+            timers.cancel(probe.timeout);
             String loadReport = message.header("Link-State");
             float[] columns =
                     loadReport == null
@@ -826,7 +771,7 @@
                             : LoadReport.parse(loadReport, settings.reportColumns());
             router.onProbeReply(
                     now,
-                    exchange.id,
+                    probe.exchange.id,
                     message.status() == 200,
                     1,
                     columns == null ? new float[0] : columns);
@@ -837,17 +782,18 @@
 
     @Override
     public void send(Session session, long exchangeId, long allowance) {
-        PendingSession pending = pendingById.get(session.id());
+        PendingCall pending = pendingCalls.get(session.id());
         RemoteExchange exchange = exchanges.byId(exchangeId);
-        Invite invite = new Invite(exchange, now, now + allowance, ++pending.inviteCount);
-        pending.outstanding = invite;
+        pendingCalls.beginInvite(pending, exchange, now, now + allowance, this::inviteTimedOut);
         unsentInvites.add(pending);
-        schedule(invite.deadline, time -> inviteTimedOut(pending, invite));
     }
 
     @Override
     public void defer(Session session, long at) {
-        schedule(at, time -> pendingSessions.resume(time, session.id()));
+        pendingCalls.decideAt(
+                pendingCalls.get(session.id()),
+                at,
+                time -> pendingSessions.resume(time, session.id()));
     }
 
     @Override
@@ -871,9 +817,8 @@
     }
 
     private void sendFinalAnswer(long id, CallerMessage message) {
-        PendingSession pending = pendingById.remove(id);
+        PendingCall pending = pendingCalls.remove(id);
         establishedCalls.markFinished(now, id);
-        pending.caller.pendingSessions.remove(id);
         actions.sendToCaller(pending.caller.id, message);
     }
 
@@ -888,20 +833,20 @@
         ExchangeConnection connection = exchange == null ? null : exchanges.pickForInvite(exchange);
         if (connection != null) {
             long id = --lastProbeId;
-            probedExchanges.put(id, exchange);
+            Timers.Timer timeout =
+                    timers.schedule(
+                            now + settings.connectTimeout(),
+                            time -> {
+                                probes.remove(id);
+                                router.onProbeReply(
+                                        time,
+                                        exchangeId,
+                                        false,
+                                        settings.connectTimeout(),
+                                        new float[0]);
+                            });
+            probes.put(id, new Probe(exchange, timeout));
             actions.sendToExchange(connection.id, SignalingMessages.probe(id));
-            schedule(
-                    now + settings.connectTimeout(),
-                    time -> {
-                        if (probedExchanges.remove(id) != null) {
-                            router.onProbeReply(
-                                    time,
-                                    exchangeId,
-                                    false,
-                                    settings.connectTimeout(),
-                                    new float[0]);
-                        }
-                    });
         }
     }
 
@@ -912,11 +857,8 @@
 
     @Override
     public void scheduleWakeUp(long at) {
-        schedule(at, time -> {});
-    }
-
-    private void schedule(long at, LongConsumer action) {
-        timers.schedule(at, action);
+        timers.cancel(wakeUp);
+        wakeUp = timers.schedule(at, time -> {});
     }
 
     // ---- time
@@ -957,7 +899,7 @@
         }
         switch (drain.step(
                 now,
-                pendingById.isEmpty(),
+                pendingCalls.size() == 0,
                 lastCallerInputAt,
                 drain.begun() && releaseNotifier.hasUnacknowledged())) {
             case STOP_ACCEPTING -> actions.stopAccepting();
@@ -987,7 +929,7 @@
             actions.log(
                     "drain",
                     "",
-                    pendingById.size()
+                    pendingCalls.size()
                             + " sessions in hand, "
                             + establishedCalls.size()
                             + " calls stand");
@@ -1010,16 +952,21 @@
                 && (exchanges.allTried() || uptime > READY_TIMEOUT_MICROS);
     }
 
+    /** Number of timers that are scheduled. */
+    int timerCount() {
+        return timers.size();
+    }
+
     /** Counters since the start and current numbers, as one line for the log. */
     public String counterLine() {
         return counters
                 + " in-hand "
-                + pendingById.size()
+                + pendingCalls.size()
                 + " standing "
                 + establishedCalls.size()
                 + " callers "
                 + callers.size()
                 + " timers "
-                + timers.size();
+                + timerCount();
     }
 }
--- a/src/test/java/coralcove/platform/RouterCoreTest.java
+++ b/src/test/java/coralcove/platform/RouterCoreTest.java
@@ -996,6 +996,45 @@
         assertThat(unresponsive.ended).isTrue();
     }
 
+    /** Guards against timers of ended sessions that fill the heap until far deadlines. */
+    @Test
+    void cancelsAllTimersOfASessionThatHasEnded() {
+        int waitMs = 3_000_000;
+        harness.processAll();
+        int timersAtRest = harness.core.timerCount();
+        harness.core.callerOpened(harness.now(), 1);
+        harness.callerSends(1, harness.setUp(0x111, 60_000, waitMs));
+        assertThat(count("caller 1 release 111")).isEqualTo(1);
+        assertThat(harness.core.timerCount()).as("refused at once").isEqualTo(timersAtRest);
+
+        harness.callerSends(1, harness.setUp(0x112, 1, waitMs));
+        harness.exchangeSends(
+                connectionOf(0x112),
+                RouterCoreHarness.status(486, "Busy Here", 0x112).add("Fail-Word", "occupied"));
+        assertThat(count("caller 1 release 112")).isEqualTo(1);
+        assertThat(harness.core.timerCount()).as("refused by exchange").isEqualTo(timersAtRest);
+
+        harness.callerSends(1, harness.setUp(0x113, 1, waitMs));
+        harness.exchangeSends(connectionOf(0x113), RouterCoreHarness.ok(0x113));
+        assertThat(harness.core.timerCount()).as("established").isEqualTo(timersAtRest);
+
+        harness.callerSends(1, harness.setUp(0x114, 1, waitMs));
+        harness.callerSends(1, CallerMessage.withCause(CallerMessage.RELEASE, 0x114, 16));
+        assertThat(harness.core.timerCount()).as("released by caller").isEqualTo(timersAtRest);
+
+        // The direct group is full, the INVITE to the tandem is reset, and the caller leaves in the
+        // release wait that follows.
+        harness.listExchanges(
+                2, false, RouterCoreHarness.entry("s-03", 3, DiscoveryUpdate.State.IN_SERVICE));
+        harness.connectAll();
+        harness.reportState(1, "x0:0;x1:40");
+        harness.callerSends(1, harness.setUp(0x115, 1, waitMs));
+        harness.connectionDown(connectionOf(0x115), ConnectionLoss.BROKEN);
+        assertThat(harness.core.timerCount()).as("release wait").isGreaterThan(timersAtRest);
+        harness.core.callerClosed(harness.now(), 1);
+        assertThat(harness.core.timerCount()).as("caller has left").isEqualTo(timersAtRest);
+    }
+
     @Test
     void inviteCarriesCallersData() {
         setUp(1, 0xaa, 1);
--- a/src/test/java/coralcove/platform/live/SessionRouterHarness.java
+++ b/src/test/java/coralcove/platform/live/SessionRouterHarness.java
@@ -371,11 +371,16 @@
 
     /** Returns a usable set-up; its caller waits {@code waitMs} ms. */
     static CallerMessage setUp(long call, int waitMs) {
+        return setUp(call, 1, waitMs);
+    }
+
+    /** Returns a set-up for the exchange of number {@code farEnd}. */
+    static CallerMessage setUp(long call, int farEnd, int waitMs) {
         return CallerMessage.of(CallerMessage.SET_UP, call)
                 .add(CallerMessage.SERVICE, "plain")
                 .add(CallerMessage.WAIT, Integer.toString(waitMs))
                 .add(CallerMessage.NUMBER, SignalingMessages.formatCallId(call))
-                .add(CallerMessage.ATTRIBUTES, "dest:1;width:1;via:-1")
+                .add(CallerMessage.ATTRIBUTES, "dest:" + farEnd + ";width:1;via:-1")
                 .add(CallerMessage.DESCRIPTION, SDP);
     }
 
--- a/src/test/java/coralcove/platform/live/SessionRouterServerTest.java
+++ b/src/test/java/coralcove/platform/live/SessionRouterServerTest.java
@@ -10,6 +10,7 @@
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -216,6 +217,29 @@
         }
     }
 
+    /** Guards against a heap filled by timers of refused set-ups whose callers wait for long. */
+    @Test
+    void keepsNoTimersOfRefusedSetUpsWithALongWait() throws Exception {
+        int setUps = 2_000;
+        try (ServerSocket exchange = SessionRouterHarness.listenOnLoopback();
+                SessionRouterHarness harness =
+                        new SessionRouterHarness(
+                                dir, 256, SessionRouterHarness.address(exchange))) {
+            CallerConnection caller = harness.connectWithExchange(exchange);
+            for (int call = 1; call <= setUps; call++) {
+                caller.send(SessionRouterHarness.setUp(call, 60_000, 3_000_000));
+            }
+            for (int call = 1; call <= setUps; call++) {
+                caller.expect(CallerMessage.RELEASE);
+            }
+            harness.server.drain();
+            harness.awaitLog("\"event\":\"ended\"");
+            assertThat(harness.log.toString(StandardCharsets.UTF_8))
+                    .contains("refused " + setUps + " ")
+                    .containsPattern("\"ended\".* timers 0\"");
+        }
+    }
+
     @Test
     void answersASetUpWhosePiecesArriveBeforeAndAfterSigterm() throws Exception {
         try (ServerSocket exchange = SessionRouterHarness.listenOnLoopback();
