Give a session no more time than its service has: a wait of an hour held an INVITE for an hour

An exchange that hangs or loses an answer then keeps a circuit, a place of its window and a pending session for up to an hour, for a client that nobody believes.

Cause: RouterCore.handleSetUp took arrivedAt + wait as the deadline; SetUpRequest allows an hour. The settings have the longest wait of each service (classes[].deadline: "how long a caller keeps trying, from the first try").

Change: a session ends by the earlier of the two. A longer wait is not refused: such a caller gets its answer by the service's deadline. Without that setting the caller's wait counts alone, as before.

--- a/src/main/java/coralcove/platform/RouterCore.java
+++ b/src/main/java/coralcove/platform/RouterCore.java
@@ -295,7 +295,7 @@
         callers.markValidSender(caller);
         callers.markHadCall(caller);
         counters.setUps++;
-        long deadline = arrivedAt + setUp.waitMs() * 1000;
+        long deadline = arrivedAt + timeLimit(setUp);
         if (pendingCalls.size() >= settings.maxPendingSessions()
                 || establishedCalls.full()
                 || !drain.acceptsSetUps(now)) {
@@ -321,6 +321,15 @@
         undecidedSetUps.add(new UndecidedSetUp(pending, session));
     }
 
+    /**
+     * The time that a session may take, in µs: its caller's wait, but no longer than any caller of
+     * this service waits. A longer wait would occupy a trunk group for a call that nobody awaits.
+     */
+    private long timeLimit(SetUpRequest setUp) {
+        return Math.min(
+                setUp.waitMs() * 1000, settings.serviceDeadlines().get(setUp.serviceIndex()));
+    }
+
     /**
      * Routes the oldest undecided set-up and sends the INVITEs decided so far. To be called when
      * all inputs read so far have been processed: a caller's release or close is then taken into
--- a/src/main/java/coralcove/platform/ServiceSettings.java
+++ b/src/main/java/coralcove/platform/ServiceSettings.java
@@ -13,6 +13,7 @@
  * @param routing settings of the routing policy
  * @param serviceNames names of the services as callers send them, in the policy's order
  * @param serviceWidths circuits that a call of each service takes
+ * @param serviceDeadlines longest time that a caller of each service waits for its call
  * @param reportColumns names of the columns of exchanges' load reports, free circuits and size
  *     first
  * @param connectTimeout time after which a connection attempt has failed
@@ -24,6 +25,7 @@
         Settings routing,
         List<String> serviceNames,
         List<Integer> serviceWidths,
+        List<Long> serviceDeadlines,
         List<String> reportColumns,
         long connectTimeout,
         int maxPendingSessions,
@@ -47,9 +49,11 @@
         Settings routing = boot.settings();
         List<String> services = new ArrayList<>();
         List<Integer> widths = new ArrayList<>();
+        List<Long> deadlines = new ArrayList<>();
         for (int i = 0; i < routing.services().size(); i++) {
             services.add(boot.required("classes." + i + ".name"));
             widths.add(routing.services().get(i).circuits());
+            deadlines.add(boot.durationMicros("classes." + i + ".deadline", Long.MAX_VALUE));
         }
         List<String> columns = boot.list("report.columns");
         if (columns.size() < 2) {
@@ -60,6 +64,7 @@
                 routing,
                 services,
                 widths,
+                deadlines,
                 columns,
                 boot.durationMicros("limits.connect_timeout", DEFAULT_CONNECT_TIMEOUT_MICROS),
                 (int)
--- a/src/test/java/coralcove/platform/RouterCoreTest.java
+++ b/src/test/java/coralcove/platform/RouterCoreTest.java
@@ -1035,6 +1035,21 @@
         assertThat(harness.core.timerCount()).as("caller has left").isEqualTo(timersAtRest);
     }
 
+    /** Guards against INVITEs that hold an exchange's window for a bad client's wait of an hour. */
+    @Test
+    void endsASessionAtTheDeadlineOfItsServiceHoweverLongItsCallerWaits() {
+        int calls = 40;
+        harness.core.callerOpened(harness.now(), 1);
+        for (int call = 1; call <= calls; call++) {
+            harness.callerSends(1, harness.setUp(0x200 + call, 1, 3_000_000));
+        }
+        long invites = count(" INVITE");
+        assertThat(invites).isPositive();
+        harness.advanceTo(9_000);
+        assertThat(count("caller 1 release")).isEqualTo(calls);
+        assertThat(count("CANCEL")).isEqualTo(invites);
+    }
+
     @Test
     void inviteCarriesCallersData() {
         setUp(1, 0xaa, 1);
