End the process when an Error ends one of its threads, in place of a router that hangs

A front that sees a closed socket goes elsewhere at once.

Cause: SessionRouterServer.runGuarded lets an Error pass, rightly, and nothing else takes it: the JVM ends the thread alone, here main with the event loop, while MINA's threads keep the process alive.

Change: Main installs a handler of uncaught Errors for all threads of all commands.

--- a/src/main/java/coralcove/cli/Main.java
+++ b/src/main/java/coralcove/cli/Main.java
@@ -22,6 +22,7 @@
     private Main() {}
 
     public static void main(String[] args) {
+        FatalErrorHandler.install();
         String command = args.length == 1 ? args[0] : "";
         try {
             switch (command) {
