--- a/src/test/java/coralcove/platform/discovery/DiscoveryPollTest.java
+++ b/src/test/java/coralcove/platform/discovery/DiscoveryPollTest.java
@@ -14,6 +14,8 @@
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /**
  * Parses responses of the discovery service, complete and truncated, and polls a fake service that
@@ -106,9 +108,14 @@
     }
 
     private static DiscoveryPoll startPoll(ServerSocket server, LinkedBlockingQueue<String> log) {
+        return startPoll(address(server), log);
+    }
+
+    private static DiscoveryPoll startPoll(
+            InetSocketAddress address, LinkedBlockingQueue<String> log) {
         DiscoveryPoll poll =
                 new DiscoveryPoll(
-                        address(server),
+                        address,
                         3,
                         new DiscoveryPoll.Listener() {
                             @Override
@@ -227,6 +234,72 @@
         }
     }
 
+    /**
+     * Guards against a poll that discards every response that is later than its patience: a service
+     * that is slow for good was never heard.
+     */
+    @ParameterizedTest
+    @ValueSource(ints = {600, 1_500, 3_000})
+    void hearsAServiceThatIsSlowForGood(int delayMs) throws Exception {
+        LinkedBlockingQueue<String> log = new LinkedBlockingQueue<>();
+        try (SlowDiscoveryService service = SlowDiscoveryService.listen(delayMs, 0)) {
+            for (int number = 1; number <= 4; number++) {
+                service.publish(event(number, "in_service"));
+            }
+            DiscoveryPoll poll = startPoll(service.address(), log);
+            assertThat(awaitUpdate(log)).isEqualTo("update 4");
+            service.publish(event(5, "terminating"));
+            assertThat(awaitUpdate(log)).isEqualTo("update 5");
+            poll.close();
+        }
+    }
+
+    /** Guards against a slow service that has to bear a new connection for each response. */
+    @Test
+    void waitsLongerForAServiceWhoseResponsesWereLate() throws Exception {
+        LinkedBlockingQueue<String> log = new LinkedBlockingQueue<>();
+        try (SlowDiscoveryService service = SlowDiscoveryService.listen(600, 0)) {
+            service.publish(event(1, "in_service"));
+            DiscoveryPoll poll = startPoll(service.address(), log);
+            assertThat(awaitUpdate(log)).isEqualTo("update 1");
+            int connections = service.connectionCount();
+            log.clear();
+            for (int response = 1; response <= 3; response++) {
+                assertThat(log.poll(10, TimeUnit.SECONDS)).isEqualTo("update 1");
+            }
+            assertThat(service.connectionCount()).isEqualTo(connections);
+            poll.close();
+        }
+    }
+
+    /**
+     * Guards against waiting for connections on which no response will ever come: further requests
+     * go out on new ones, no more than three at a time.
+     */
+    @Test
+    void hearsASlowServiceBesideConnectionsThatStaySilent() throws Exception {
+        LinkedBlockingQueue<String> log = new LinkedBlockingQueue<>();
+        try (SlowDiscoveryService service = SlowDiscoveryService.listen(600, 5)) {
+            service.publish(event(1, "in_service"));
+            DiscoveryPoll poll = startPoll(service.address(), log);
+            assertThat(log.poll(10, TimeUnit.SECONDS)).isEqualTo("failed");
+            assertThat(awaitUpdate(log)).isEqualTo("update 1");
+            // The service may see a new connection before the close of the one that it replaces.
+            assertThat(service.mostOpenConnections()).isLessThanOrEqualTo(3 + 1);
+            poll.close();
+        }
+    }
+
+    /** The next update, whatever failures are reported before it; null if none comes in time. */
+    private static String awaitUpdate(LinkedBlockingQueue<String> log) throws InterruptedException {
+        long endNanos = System.nanoTime() + TimeUnit.SECONDS.toNanos(20);
+        String line = "failed";
+        while ("failed".equals(line)) {
+            line = log.poll(endNanos - System.nanoTime(), TimeUnit.NANOSECONDS);
+        }
+        return line;
+    }
+
     private static String readRequest(Socket socket) throws IOException {
         StringBuilder request = new StringBuilder();
         while (!request.toString().endsWith("\r\n\r\n")) {
--- a/src/test/java/coralcove/platform/live/SessionRouterHarness.java
+++ b/src/test/java/coralcove/platform/live/SessionRouterHarness.java
@@ -229,15 +229,18 @@
      */
     static ExchangeConnection acceptConnection(ServerSocket exchange) throws IOException {
         ExchangeConnection connection = new ExchangeConnection(exchange.accept());
-        connection.send(
-                SipMessage.request("NOTIFY", "sip:group@net")
-                        .add("Call-ID", "0")
-                        .add("CSeq", "1 NOTIFY")
-                        .add("Link-State", "free:20;size:20"),
-                SignalingMessages.ping(0));
+        connection.send(freeCircuits(), SignalingMessages.ping(0));
         return connection;
     }
 
+    /** Returns an exchange's report that all of its 20 circuits are free. */
+    static SipMessage freeCircuits() {
+        return SipMessage.request("NOTIFY", "sip:group@net")
+                .add("Call-ID", "0")
+                .add("CSeq", "1 NOTIFY")
+                .add("Link-State", "free:20;size:20");
+    }
+
     /**
      * Accepts the given number of further connections, and waits until the router has processed the
      * report of free circuits on each. The router may be ready before it has read a report, and
--- a/src/test/java/coralcove/platform/live/SessionRouterServerTest.java
+++ b/src/test/java/coralcove/platform/live/SessionRouterServerTest.java
@@ -3,6 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import coralcove.platform.caller.CallerMessage;
+import coralcove.platform.discovery.SlowDiscoveryService;
 import coralcove.platform.live.SessionRouterHarness.CallerConnection;
 import coralcove.platform.live.SessionRouterHarness.ExchangeConnection;
 import coralcove.platform.signaling.SignalingMessages;
@@ -240,6 +241,56 @@
         }
     }
 
+    /** Guards against INVITEs to an exchange that drains while the discovery service is slow. */
+    @Test
+    void hearsOfADrainFromADiscoveryServiceThatIsSlowForGood() throws Exception {
+        try (ServerSocket exchange = SessionRouterHarness.listenOnLoopback();
+                SessionRouterHarness harness =
+                        new SessionRouterHarness(dir, 256, SessionRouterHarness.address(exchange));
+                SlowDiscoveryService discovery =
+                        new SlowDiscoveryService(harness.discovery, 600, 0)) {
+            InetSocketAddress address = SessionRouterHarness.address(exchange);
+            discovery.publish(
+                    SessionRouterHarness.listEvent(1, true, "s-1", address, "in_service"));
+            harness.acceptConnections(exchange, 2);
+            CallerConnection caller = harness.connectWhenReady();
+            assertThat(inviteOf(harness, caller, 0x300)).isTrue();
+            discovery.publish(
+                    SessionRouterHarness.listEvent(2, false, "s-1", address, "terminating"));
+            long endNanos = System.nanoTime() + TimeUnit.SECONDS.toNanos(10);
+            long call = 0x301;
+            while (inviteOf(harness, caller, call)) {
+                assertThat(System.nanoTime()).as("INVITEs after 10 s").isLessThan(endNanos);
+                call++;
+            }
+        }
+    }
+
+    /**
+     * Sets a call up and releases it before an answer; returns whether an INVITE was sent, and
+     * false if the call was refused instead.
+     */
+    private static boolean inviteOf(
+            SessionRouterHarness harness, CallerConnection caller, long call) throws Exception {
+        caller.send(SessionRouterHarness.setUp(call, 5_000));
+        while (true) {
+            for (ExchangeConnection connection : harness.exchangeConnections) {
+                if (!connection.received.isEmpty()) {
+                    connection.expect("INVITE");
+                    caller.send(CallerMessage.withCause(CallerMessage.RELEASE, call, 16));
+                    connection.expect("CANCEL");
+                    connection.send(SessionRouterHarness.freeCircuits());
+                    return true;
+                }
+            }
+            CallerMessage refusal = caller.received.poll(1, TimeUnit.MILLISECONDS);
+            if (refusal != null) {
+                assertThat(refusal.type()).isEqualTo(CallerMessage.RELEASE);
+                return false;
+            }
+        }
+    }
+
     @Test
     void answersASetUpWhosePiecesArriveBeforeAndAfterSigterm() throws Exception {
         try (ServerSocket exchange = SessionRouterHarness.listenOnLoopback();
