--- a/src/test/java/coralcove/platform/discovery/DiscoveryPollTest.java
+++ b/src/test/java/coralcove/platform/discovery/DiscoveryPollTest.java
@@ -179,7 +179,7 @@
                             false);
             assertThat(log.poll(10, TimeUnit.SECONDS)).isEqualTo("update 4");
             // The next request arrives on the same connection and waits for its response.
-            readRequest(socket);
+            SlowDiscoveryService.readRequest(socket);
             poll.setAddress(address(second));
             respond(second, log, event(5, "in_service"), event(5, "in_service").length(), true);
             assertThat(log.poll(10, TimeUnit.SECONDS)).startsWith("GET /bulletins?after=4&");
@@ -208,7 +208,7 @@
                             false);
             assertThat(log.poll(10, TimeUnit.SECONDS)).isEqualTo("update 4");
             String text = event(5, "in_service");
-            readRequest(socket);
+            SlowDiscoveryService.readRequest(socket);
             socket.getOutputStream()
                     .write(
                             ("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5;x=y\r\n"
@@ -221,7 +221,7 @@
                                     .getBytes(StandardCharsets.US_ASCII));
             assertThat(log.poll(10, TimeUnit.SECONDS)).isEqualTo("update 5");
             // A persistent connection that was closed is replaced without reporting a failure.
-            readRequest(socket);
+            SlowDiscoveryService.readRequest(socket);
             socket.close();
             respond(
                     server,
@@ -300,14 +300,6 @@
         return line;
     }
 
-    private static String readRequest(Socket socket) throws IOException {
-        StringBuilder request = new StringBuilder();
-        while (!request.toString().endsWith("\r\n\r\n")) {
-            request.append((char) socket.getInputStream().read());
-        }
-        return request.substring(0, request.indexOf("\r\n"));
-    }
-
     /**
      * Accepts a connection, logs the request line and sends the first {@code length} bytes of a
      * response.
@@ -320,7 +312,7 @@
             boolean close)
             throws IOException {
         Socket socket = server.accept();
-        log.add(readRequest(socket));
+        log.add(SlowDiscoveryService.readRequest(socket));
         OutputStream out = socket.getOutputStream();
         out.write(
                 ("HTTP/1.1 200 OK\r\nContent-Length: "
--- a/src/test/java/coralcove/platform/discovery/SlowDiscoveryService.java
+++ b/src/test/java/coralcove/platform/discovery/SlowDiscoveryService.java
@@ -100,14 +100,7 @@
             int after = Integer.parseInt(query.group(1));
             awaitEvent(after, Long.parseLong(query.group(2)));
             TimeUnit.MILLISECONDS.sleep(delayMs);
-            String body = eventsAfter(after);
-            socket.getOutputStream()
-                    .write(
-                            ("HTTP/1.1 200 OK\r\nContent-Length: "
-                                            + body.length()
-                                            + "\r\n\r\n"
-                                            + body)
-                                    .getBytes(StandardCharsets.US_ASCII));
+            respond(socket, eventsAfter(after));
         }
     }
 
@@ -126,7 +119,8 @@
                 + "]}";
     }
 
-    private static String readRequest(Socket socket) throws IOException {
+    /** Reads a request and returns its first line; fails if the connection is closed before. */
+    public static String readRequest(Socket socket) throws IOException {
         StringBuilder request = new StringBuilder();
         while (request.indexOf("\r\n\r\n") < 0) {
             int next = socket.getInputStream().read();
@@ -135,7 +129,15 @@
             }
             request.append((char) next);
         }
-        return request.toString();
+        return request.substring(0, request.indexOf("\r\n"));
+    }
+
+    /** Writes a complete response with this body. */
+    public static void respond(Socket socket, String body) throws IOException {
+        socket.getOutputStream()
+                .write(
+                        ("HTTP/1.1 200 OK\r\nContent-Length: " + body.length() + "\r\n\r\n" + body)
+                                .getBytes(StandardCharsets.US_ASCII));
     }
 
     private interface ThrowingRunnable {
--- a/src/test/java/coralcove/platform/live/SessionRouterHarness.java
+++ b/src/test/java/coralcove/platform/live/SessionRouterHarness.java
@@ -4,6 +4,7 @@
 
 import coralcove.platform.caller.CallerFramer;
 import coralcove.platform.caller.CallerMessage;
+import coralcove.platform.discovery.SlowDiscoveryService;
 import coralcove.platform.signaling.SignalingMessages;
 import coralcove.sip.SipMessage;
 import coralcove.sip.SipParser;
@@ -337,20 +338,10 @@
 
     /** Answers a poll for the exchange list on an open connection. */
     static String answerPoll(Socket socket, int last, String... items) throws IOException {
-        StringBuilder request = new StringBuilder();
-        while (request.indexOf("\r\n\r\n") < 0) {
-            int next = socket.getInputStream().read();
-            if (next < 0) {
-                throw new IOException("closed");
-            }
-            request.append((char) next);
-        }
-        String body = "{\"no\":" + last + ",\"items\":[" + String.join(",", items) + "]}";
-        socket.getOutputStream()
-                .write(
-                        ("HTTP/1.1 200 OK\r\nContent-Length: " + body.length() + "\r\n\r\n" + body)
-                                .getBytes(StandardCharsets.US_ASCII));
-        return request.substring(0, request.indexOf("\r\n"));
+        String request = SlowDiscoveryService.readRequest(socket);
+        SlowDiscoveryService.respond(
+                socket, "{\"no\":" + last + ",\"items\":[" + String.join(",", items) + "]}");
+        return request;
     }
 
     /** Returns an event of the exchange list with one exchange, as JSON. */
