Send releases where calls were established, not where requests are refused

Cause: CallerConnections.markHadCall counted every set-up as a call, whatever became of it, and RELEASE_COMPLETE counted for any id. The most recent connection "with a call" was always one of the refused clients. ReleaseNotifier tried four of these and then kept the release until the last one closed. Ruled out: the exchanges (their BYEs are in the record and answered) and the callers' connections (one or two were open).

Change: a connection is ranked by what it has shown (CallerEvidence): a call established on it or an acknowledgement of a release sent there is proof, a request is not. A release that went only to connections without proof stays owed until one gives stronger evidence, in one table with a bound, an age and a counter, in place of 100 a connection.

--- a/src/main/java/coralcove/platform/CallerConnections.java
+++ b/src/main/java/coralcove/platform/CallerConnections.java
@@ -1,9 +1,8 @@
 package coralcove.platform;
 
-import coralcove.platform.caller.CallerFramer;
-import coralcove.platform.caller.CallerMessage;
 import java.util.ArrayList;
 import java.util.Comparator;
+import java.util.EnumMap;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -45,57 +44,21 @@
      */
     private static final long GRACE_MICROS = 150_000;
 
-    /** One connection; times are µs since the epoch. */
-    static final class CallerConnection {
-        final long id;
-        final long openedAt;
-        final CallerFramer framer = new CallerFramer();
-
-        /** Ids of sessions set up on this connection that have no final answer yet. */
-        final Set<Long> pendingSessions = new LinkedHashSet<>();
-
-        /** Releases of established calls sent on this connection and not acknowledged, by call. */
-        final Map<Long, CallerMessage> unacknowledged = new LinkedHashMap<>();
-
-        /** Whether a valid message came; only such a connection is used for releases. */
-        boolean sentValidMessage;
-
-        /** Whether it has acknowledged a release, so that further ones are likely read too. */
-        boolean acknowledgesReleases;
-
-        /** Whether a call was set up or reported on it: its caller expects the release here. */
-        boolean hadCall;
-
-        /** When the message that is incomplete began, or 0. */
-        long partialSince;
-
-        /** When it last sent bytes, or else was opened. */
-        long lastReadAt;
-
-        CallerConnection(long id, long openedAt) {
-            this.id = id;
-            this.openedAt = openedAt;
-            lastReadAt = openedAt;
-        }
-    }
-
     private DescriptorBudget descriptorBudget;
     private final Map<Long, CallerConnection> connections = new LinkedHashMap<>();
 
-    /** Ids of connections that have sent a valid message, the most recent last. */
-    private final LinkedHashSet<Long> validSenders = new LinkedHashSet<>();
-
-    /** Ids of connections that have acknowledged a release, the most recent last. */
-    private final LinkedHashSet<Long> acknowledging = new LinkedHashSet<>();
-
-    /** Ids of connections on which calls were set up or reported, the most recent last. */
-    private final LinkedHashSet<Long> withCalls = new LinkedHashSet<>();
+    /** Ids of the connections that have given each kind of evidence, the most recent last. */
+    private final Map<CallerEvidence, LinkedHashSet<Long>> byEvidence =
+            new EnumMap<>(CallerEvidence.class);
 
     /** Time of marking by connection id. */
     private final Map<Long, Long> markedForClosing = new LinkedHashMap<>();
 
     CallerConnections(DescriptorBudget descriptorBudget) {
         this.descriptorBudget = descriptorBudget;
+        for (CallerEvidence evidence : CallerEvidence.values()) {
+            byEvidence.put(evidence, new LinkedHashSet<>());
+        }
     }
 
     /** The number of exchanges, whose connections need descriptors too, has changed. */
@@ -117,38 +80,26 @@
 
     /** Removes a connection; returns null if it was not open. */
     CallerConnection closed(long id) {
-        validSenders.remove(id);
-        acknowledging.remove(id);
-        withCalls.remove(id);
+        byEvidence.values().forEach(ids -> ids.remove(id));
         return connections.remove(id);
     }
 
-    /** It has sent a valid message. */
-    void markValidSender(CallerConnection caller) {
-        caller.sentValidMessage = true;
-        validSenders.remove(caller.id);
-        validSenders.add(caller.id);
-    }
-
-    /** It has acknowledged a release. */
-    void markAcknowledging(CallerConnection caller) {
-        caller.acknowledgesReleases = true;
-        acknowledging.remove(caller.id);
-        acknowledging.add(caller.id);
-    }
-
-    /** A call was set up on it, or reported as established. */
-    void markHadCall(CallerConnection caller) {
-        caller.hadCall = true;
-        withCalls.remove(caller.id);
-        withCalls.add(caller.id);
+    /**
+     * Notes that a connection has given evidence of being a caller's. Returns whether it is
+     * stronger than all that the connection gave before.
+     */
+    boolean addEvidence(CallerConnection caller, CallerEvidence evidence) {
+        LinkedHashSet<Long> ids = byEvidence.get(evidence);
+        ids.remove(caller.id);
+        ids.add(caller.id);
+        boolean stronger = evidence.compareTo(caller.evidence) > 0;
+        caller.evidence = stronger ? evidence : caller.evidence;
+        return stronger;
     }
 
     /**
      * Picks a connection for the release of a call: that of its set-up if it is still open, else
-     * the last one that acknowledged a release, else the last one that had a call, else the last
-     * one that sent a valid message. This order prefers callers to clients that only send tests and
-     * stay connected.
+     * the most recent one of those with the strongest evidence of being a caller's.
      *
      * @param preferred the connection of the set-up
      * @param tried connections on which this release was sent before; none of them is picked
@@ -156,8 +107,9 @@
      */
     CallerConnection pickForRelease(long preferred, Set<Long> tried) {
         CallerConnection picked = tried.contains(preferred) ? null : connections.get(preferred);
-        for (LinkedHashSet<Long> ids : List.of(acknowledging, withCalls, validSenders)) {
-            picked = picked == null ? mostRecent(ids, tried) : picked;
+        CallerEvidence[] kinds = CallerEvidence.values();
+        for (int i = kinds.length - 1; picked == null && i >= 0; i--) {
+            picked = mostRecent(byEvidence.get(kinds[i]), tried);
         }
         return picked;
     }
@@ -170,6 +122,10 @@
         return last == null ? null : connections.get(last);
     }
 
+    private LinkedHashSet<Long> validSenders() {
+        return byEvidence.get(CallerEvidence.VALID_MESSAGE);
+    }
+
     /**
      * The connections to close while there are too many: the oldest without a valid message, then,
      * of the others, no more than exceed their own share, longest silent first. Clients that place
@@ -184,7 +140,7 @@
         List<CallerConnection> found = new ArrayList<>();
         for (CallerConnection caller : connections.values()) {
             if (found.size() < excess
-                    && !caller.sentValidMessage
+                    && !caller.sentValidMessage()
                     && caller.pendingSessions.isEmpty()
                     && now - caller.openedAt > GRACE_MICROS) {
                 found.add(caller);
@@ -193,7 +149,7 @@
         connections.values().stream()
                 .filter(
                         each ->
-                                each.sentValidMessage
+                                each.sentValidMessage()
                                         && each.pendingSessions.isEmpty()
                                         && now - each.lastReadAt > SETTLED_MICROS)
                 .sorted(
@@ -205,7 +161,8 @@
                                 0,
                                 Math.min(
                                         excess - found.size(),
-                                        validSenders.size() - descriptorBudget.maxValidSenders())))
+                                        validSenders().size()
+                                                - descriptorBudget.maxValidSenders())))
                 .forEach(found::add);
         return found;
     }
@@ -219,7 +176,7 @@
         for (CallerConnection caller : connections.values()) {
             if (found.size() < 2
                     && !caller.acknowledgesReleases
-                    && !caller.hadCall
+                    && !caller.placedOrReportedCall()
                     && caller.pendingSessions.isEmpty()
                     && now - caller.lastReadAt > GRACE_AT_LIMIT_MICROS) {
                 found.add(caller);
@@ -228,8 +185,8 @@
         // The first valid sender is the one idle longest. They keep at least a third of the
         // descriptors.
         for (Long id :
-                validSenders.size() > descriptorBudget.maxValidSenders()
-                        ? validSenders
+                validSenders().size() > descriptorBudget.maxValidSenders()
+                        ? validSenders()
                         : Set.<Long>of()) {
             CallerConnection caller = connections.get(id);
             if (found.size() < 2
@@ -261,7 +218,8 @@
      */
     void markForClosing(long now) {
         for (CallerConnection caller : connections.values()) {
-            if (!caller.sentValidMessage && now - caller.openedAt > FIRST_MESSAGE_TIMEOUT_MICROS) {
+            if (!caller.sentValidMessage()
+                    && now - caller.openedAt > FIRST_MESSAGE_TIMEOUT_MICROS) {
                 markedForClosing.putIfAbsent(caller.id, now);
             }
         }
@@ -283,7 +241,7 @@
                                     caller != null
                                             && caller.pendingSessions.isEmpty()
                                             && (caller.lastReadAt < each.getValue()
-                                                    || !caller.sentValidMessage
+                                                    || !caller.sentValidMessage()
                                                             && now - caller.openedAt
                                                                     > FIRST_MESSAGE_TIMEOUT_MICROS
                                                                             + SETTLED_MICROS);
--- a/src/main/java/coralcove/platform/EstablishedCalls.java
+++ b/src/main/java/coralcove/platform/EstablishedCalls.java
@@ -172,6 +172,7 @@
         int releaseCause = cause == 0 ? SipOutcomes.CAUSE_TEMPORARY_FAILURE : cause;
         Call call = calls.get(id);
         if (call != null && call.exchange == exchange) {
+            releaseNotifier.reportConfirmed(now, call.callerConnection);
             endAndNotifyCaller(now, id, call, releaseCause);
         } else if (call == null
                 && !releasedUnknownCalls.containsKey(id)
--- a/src/main/java/coralcove/platform/PendingCalls.java
+++ b/src/main/java/coralcove/platform/PendingCalls.java
@@ -1,6 +1,5 @@
 package coralcove.platform;
 
-import coralcove.platform.CallerConnections.CallerConnection;
 import coralcove.platform.Exchanges.ExchangeConnection;
 import coralcove.platform.Exchanges.RemoteExchange;
 import coralcove.platform.caller.SetUpRequest;
--- a/src/main/java/coralcove/platform/RouterCore.java
+++ b/src/main/java/coralcove/platform/RouterCore.java
@@ -7,7 +7,6 @@
 import coralcove.Session;
 import coralcove.pending.DecisionExecutor;
 import coralcove.pending.PendingSessions;
-import coralcove.platform.CallerConnections.CallerConnection;
 import coralcove.platform.Exchanges.ExchangeConnection;
 import coralcove.platform.Exchanges.RemoteExchange;
 import coralcove.platform.PendingCalls.Invite;
@@ -132,7 +131,7 @@
                         actions,
                         new ExchangeEvents());
         callers = new CallerConnections(new DescriptorBudget(settings.descriptorLimit(), 0));
-        releaseNotifier = new ReleaseNotifier(callers, actions, timers);
+        releaseNotifier = new ReleaseNotifier(callers, actions, timers, counters);
         establishedCalls =
                 new EstablishedCalls(
                         exchanges,
@@ -234,7 +233,7 @@
             case CallerMessage.SET_UP -> handleSetUp(arrivedAt, caller, message);
             case CallerMessage.RELEASE -> handleCallerRelease(caller, message);
             case CallerMessage.READINESS_CHECK -> {
-                callers.markValidSender(caller);
+                addEvidence(caller, CallerEvidence.VALID_MESSAGE);
                 boolean passed = ready() && !drain.begun();
                 actions.sendToCaller(
                         caller.id,
@@ -243,8 +242,10 @@
             }
             case CallerMessage.RELEASE_COMPLETE -> {
                 counters.releasesAcknowledged++;
-                callers.markAcknowledging(caller);
-                caller.unacknowledged.remove(message.callId());
+                caller.acknowledgesReleases = true;
+                if (releaseNotifier.acknowledged(message.callId(), caller)) {
+                    addEvidence(caller, CallerEvidence.ACKNOWLEDGED_RELEASE);
+                }
             }
             case CallerMessage.PROGRESS -> {}
             default -> {
@@ -252,8 +253,12 @@
                 closeCaller(caller);
             }
         }
-        if (caller.sentValidMessage) {
-            releaseNotifier.sendWaiting(now);
+    }
+
+    /** A connection has given evidence of being a caller's: it may get releases that are owed. */
+    private void addEvidence(CallerConnection caller, CallerEvidence evidence) {
+        if (callers.addEvidence(caller, evidence)) {
+            releaseNotifier.evidenceGrew(now, caller);
         }
     }
 
@@ -273,8 +278,8 @@
         }
         long id = setUp.callId();
         if (setUp.establishedExchange() != null) {
-            callers.markValidSender(caller);
-            callers.markHadCall(caller);
+            callers.addEvidence(caller, CallerEvidence.VALID_MESSAGE);
+            addEvidence(caller, CallerEvidence.REPORTED_CALL);
             if (pendingCalls.get(id) == null) {
                 establishedCalls.reportedByCaller(
                         now, id, setUp.establishedExchange(), caller.id, listAnswered);
@@ -292,8 +297,8 @@
             }
             return;
         }
-        callers.markValidSender(caller);
-        callers.markHadCall(caller);
+        callers.addEvidence(caller, CallerEvidence.VALID_MESSAGE);
+        addEvidence(caller, CallerEvidence.REQUESTED_CALL);
         counters.setUps++;
         long deadline = arrivedAt + timeLimit(setUp);
         if (pendingCalls.size() >= settings.maxPendingSessions()
@@ -390,13 +395,13 @@
         long id = message.callId();
         PendingCall pending = pendingCalls.get(id);
         if (pending != null && pending.caller == caller) {
-            callers.markValidSender(caller);
+            addEvidence(caller, CallerEvidence.VALID_MESSAGE);
             abandon(id);
             return;
         }
         if (establishedCalls.releasedByCaller(
                 now, id, message.cause(SipOutcomes.CAUSE_NORMAL_CLEARING))) {
-            callers.markValidSender(caller);
+            addEvidence(caller, CallerEvidence.VALID_MESSAGE);
         }
     }
 
@@ -607,6 +612,7 @@
                 pending.caller.id,
                 CallerMessage.of(CallerMessage.ANSWER, id)
                         .add(CallerMessage.DESCRIPTION, message.body()));
+        addEvidence(pending.caller, CallerEvidence.ESTABLISHED_CALL);
         pendingSessions.callEstablished(now, id, connection.exchange.id, Math.max(0, elapsed));
     }
 
@@ -902,8 +908,8 @@
     public void allInputsProcessed(long time) {
         advanceTo(time);
         for (CallerConnection caller : callers.closable(now)) {
-            counters.silentCallersClosed += caller.sentValidMessage ? 0 : 1;
-            counters.callersClosedForRoom += caller.sentValidMessage ? 1 : 0;
+            counters.silentCallersClosed += caller.sentValidMessage() ? 0 : 1;
+            counters.callersClosedForRoom += caller.sentValidMessage() ? 1 : 0;
             closeCaller(caller);
         }
         switch (drain.step(
@@ -975,6 +981,10 @@
                 + establishedCalls.size()
                 + " callers "
                 + callers.size()
+                + " owed "
+                + releaseNotifier.size()
+                + " unheard "
+                + counters.releasesDropped
                 + " timers "
                 + timerCount();
     }
--- a/src/main/java/coralcove/platform/RouterCounters.java
+++ b/src/main/java/coralcove/platform/RouterCounters.java
@@ -23,6 +23,10 @@
     long callersClosedForRoom;
     long releasesPassedOn;
     long releasesAcknowledged;
+
+    /** Releases that no caller was there to hear; printed by {@link RouterCore#counterLine}. */
+    long releasesDropped;
+
     private long established;
 
     /** The slowest set-up since the counters were printed last. */
--- a/src/test/java/coralcove/platform/RouterCoreHarness.java
+++ b/src/test/java/coralcove/platform/RouterCoreHarness.java
@@ -178,6 +178,20 @@
                 .add(CallerMessage.DESCRIPTION, SDP);
     }
 
+    /** The connection on which the last INVITE of this call was sent. */
+    long connectionOf(long call) {
+        String found =
+                sentMessages.stream()
+                        .filter(
+                                each ->
+                                        each.contains(" INVITE")
+                                                && each.contains(
+                                                        "call " + Long.toHexString(call) + ","))
+                        .reduce((a, b) -> b)
+                        .orElseThrow();
+        return Long.parseLong(found.split(" ")[1]);
+    }
+
     void callerSends(long id, CallerMessage message) {
         note("caller " + id + " -> " + describe(message));
         core.callerRead(now, id, message.encode());
