Let the exchange list expire where discovery is silent longer than told events allow

Nothing in the log tells of the silence.

Cause: nothing between discovery and routing knew the age of the list. DiscoveryPoll reports failures; RouterCore.discoveryFailed hands them to ExponentialPenaltyRouter.onExchangeListLost, which plans a subscription at most. Ruled out: the poll itself (it asks again on new connections all the while, and the first request after the silence is answered).

Change: ExchangeListLease, renewed by the time at which the list was current, ends after the protocol's 7 s and contract.stop_sending_within. Then set-ups are refused, INVITEs that were decided and not sent are rejected, and the log has list-expired and list-renewed. The policy is unchanged. In virtual time the tests' discovery service now answers each second, as a sound one does.

--- a/src/main/java/coralcove/platform/RouterCore.java
+++ b/src/main/java/coralcove/platform/RouterCore.java
@@ -86,6 +86,7 @@
     private final PendingCalls pendingCalls = new PendingCalls(timers);
     private final ReleaseNotifier releaseNotifier;
     private final Drain drain = new Drain();
+    private final ExchangeListLease listLease;
 
     /** Set-ups that wait for a routing decision, in order of arrival. */
     private final ArrayDeque<UndecidedSetUp> undecidedSetUps = new ArrayDeque<>();
@@ -122,6 +123,7 @@
         this.settings = settings;
         this.router = router;
         this.actions = actions;
+        listLease = new ExchangeListLease(now, settings.drainGrace());
         pendingSessions = new PendingSessions(router, this);
         exchanges =
                 new Exchanges(
@@ -303,7 +305,8 @@
         long deadline = arrivedAt + timeLimit(setUp);
         if (pendingCalls.size() >= settings.maxPendingSessions()
                 || establishedCalls.full()
-                || !drain.acceptsSetUps(now)) {
+                || !drain.acceptsSetUps(now)
+                || !listLease.isValid(now)) {
             counters.refused++;
             sendRelease(caller, id, CAUSE_CONGESTION);
             return;
@@ -367,6 +370,10 @@
 
     /** Sends the outstanding INVITE, or requests a connection where none is up. */
     private void sendOrConnect(PendingCall pending) {
+        if (!listLease.isValid(now)) {
+            rejectForExpiredList(pending);
+            return;
+        }
         RemoteExchange exchange = pending.outstanding().exchange;
         ExchangeConnection connection = exchanges.pickForInvite(exchange);
         if (connection != null) {
@@ -416,16 +423,21 @@
         }
         counters.abandoned++;
         establishedCalls.markFinished(now, id);
-        pendingSessions.callerLeft(now, id);
         Invite invite = pendingCalls.endInvite(pending);
+        if (invite != null && invite.connection != null) {
+            sendCancel(pending, invite);
+        }
+        endSession(pending, invite, InviteOutcome.CANCELLED);
+    }
+
+    /** Informs the routing policy that a session is over, and how its last INVITE ended, if any. */
+    private void endSession(PendingCall pending, Invite invite, InviteOutcome outcome) {
+        pendingSessions.callerLeft(now, pending.id());
         if (invite != null) {
-            if (invite.connection != null) {
-                sendCancel(pending, invite);
-            }
             pendingSessions.inviteEnded(
                     now,
-                    id,
-                    InviteOutcome.CANCELLED,
+                    pending.id(),
+                    outcome,
                     RejectionCause.NONE,
                     invite.exchange.id,
                     now - invite.sentAt,
@@ -434,6 +446,40 @@
         }
     }
 
+    /**
+     * Ends a session whose INVITE was not sent, as its exchange may have begun to drain. It is
+     * refused, or fails if it had an INVITE before, which may have run.
+     */
+    private void rejectForExpiredList(PendingCall pending) {
+        boolean hadInvite = pending.outstanding().sequence > 1;
+        endSession(pending, pendingCalls.endInvite(pending), InviteOutcome.NOT_SENT);
+        counters.refused += hadInvite ? 0 : 1;
+        counters.failed += hadInvite ? 1 : 0;
+        sendFinalAnswer(
+                pending.id(),
+                CallerMessage.withCause(
+                        CallerMessage.RELEASE,
+                        pending.id(),
+                        hadInvite ? CAUSE_NETWORK_OUT_OF_ORDER : CAUSE_CONGESTION));
+    }
+
+    /** Rejects the sessions that wait for a connection if the exchange list has expired. */
+    private void checkListLease() {
+        if (listLease.expire(now)) {
+            actions.log(
+                    "list-expired",
+                    "",
+                    "no answer of the discovery service for "
+                            + listLease.age(now) / 1000
+                            + " ms: set-ups are refused");
+            for (PendingCall pending : pendingCalls.all()) {
+                if (pending.outstanding() != null && pending.outstanding().connection == null) {
+                    rejectForExpiredList(pending);
+                }
+            }
+        }
+    }
+
     /** Cancels an INVITE and remembers it, as a 200 may cross the CANCEL. */
     private void sendCancel(PendingCall pending, Invite invite) {
         cancelledInvites.put(pending.setUp.callId(), invite.exchange);
@@ -462,7 +508,7 @@
         establishedCalls.connectionUp(connection);
         for (PendingCall pending : pendingCalls.all()) {
             if (pending.waitsForConnectionTo(connection.exchange)) {
-                sendInvite(pending, connection);
+                sendOrConnect(pending);
             }
         }
     }
@@ -757,10 +803,17 @@
         exchanges.tick(now);
     }
 
-    /** The discovery service has answered: the exchange list is up to date. */
-    public void discoveryAnswered(long arrivedAt, DiscoveryUpdate bulletin) {
+    /**
+     * The discovery service has answered.
+     *
+     * @param listCurrentAt time at which the list was current at least, in µs
+     */
+    public void discoveryAnswered(long arrivedAt, long listCurrentAt, DiscoveryUpdate bulletin) {
         listAnswered = true;
         exchangeListUpdated(arrivedAt, bulletin);
+        if (listLease.renew(now, listCurrentAt)) {
+            actions.log("list-renewed", "", "set-ups are accepted");
+        }
     }
 
     /** A query to the discovery service has failed. */
@@ -889,6 +942,7 @@
         timers.runExpired(now);
         if (now >= nextCheckAt) {
             nextCheckAt = now + CHECK_INTERVAL_MICROS;
+            checkListLease();
             exchanges.tick(now);
             for (CallerConnection caller : callers.withStalledMessage(now)) {
                 counters.silentCallersClosed++;
--- a/src/main/java/coralcove/platform/ServiceSettings.java
+++ b/src/main/java/coralcove/platform/ServiceSettings.java
@@ -17,6 +17,7 @@
  * @param reportColumns names of the columns of exchanges' load reports, free circuits and size
  *     first
  * @param connectTimeout time after which a connection attempt has failed
+ * @param drainGrace time in which new INVITEs to an exchange must end once it is told to drain
  * @param maxPendingSessions sessions without a final answer above which set-ups are refused
  * @param mayProbe whether exchanges may be sent OPTIONS requests
  * @param descriptorLimit the process's limit of open descriptors
@@ -28,6 +29,7 @@
         List<Long> serviceDeadlines,
         List<String> reportColumns,
         long connectTimeout,
+        long drainGrace,
         int maxPendingSessions,
         boolean mayProbe,
         int descriptorLimit) {
@@ -67,6 +69,7 @@
                 deadlines,
                 columns,
                 boot.durationMicros("limits.connect_timeout", DEFAULT_CONNECT_TIMEOUT_MICROS),
+                boot.durationMicros("contract.stop_sending_within", 0),
                 (int)
                         Math.min(
                                 MAX_PENDING_SESSIONS,
--- a/src/main/java/coralcove/platform/discovery/DiscoveryPoll.java
+++ b/src/main/java/coralcove/platform/discovery/DiscoveryPoll.java
@@ -51,8 +51,12 @@
 
     /** Notified of each poll's result, on the poll's thread. */
     public interface Listener {
-        /** A response arrived; it contains no events if there were none. */
-        void updated(DiscoveryUpdate update);
+        /**
+         * A response arrived; it contains no events if there were none.
+         *
+         * @param currentAtNanos {@link System#nanoTime} at which the list was current at least
+         */
+        void updated(DiscoveryUpdate update, long currentAtNanos);
 
         /** A request failed or is overdue; a further one will be sent. */
         void failed(String reason);
@@ -172,7 +176,7 @@
     }
 
     private void handleResponse(DiscoveryRequest request) {
-        listener.updated(request.update());
+        listener.updated(request.update(), request.currentAtNanos());
         synchronized (this) {
             lastEvent = Math.max(lastEvent, request.update().lastEvent());
             cancelPending();
--- a/src/main/java/coralcove/platform/discovery/DiscoveryRequest.java
+++ b/src/main/java/coralcove/platform/discovery/DiscoveryRequest.java
@@ -83,6 +83,16 @@
         return update;
     }
 
+    /**
+     * The {@link System#nanoTime} at which the list in the response was current at least. A service
+     * holds a request for its whole wait if there is no event; else it may have answered at once,
+     * and its response been late.
+     */
+    long currentAtNanos() {
+        boolean heldForWholeWait = update.events().isEmpty() && latenessMs() >= 0;
+        return startedNanos + (heldForWholeWait ? TimeUnit.MILLISECONDS.toNanos(pollWaitMs) : 0);
+    }
+
     /** Why it has failed. */
     String failure() {
         return failure;
--- a/src/main/java/coralcove/platform/live/SessionRouterServer.java
+++ b/src/main/java/coralcove/platform/live/SessionRouterServer.java
@@ -92,9 +92,12 @@
                         configuration.knownExchanges().lastEvent(),
                         new DiscoveryPoll.Listener() {
                             @Override
-                            public void updated(DiscoveryUpdate bulletin) {
+                            public void updated(DiscoveryUpdate update, long currentAtNanos) {
                                 events.addPriority(
-                                        0, () -> core.discoveryAnswered(clock(), bulletin));
+                                        0,
+                                        () ->
+                                                core.discoveryAnswered(
+                                                        clock(), toMicros(currentAtNanos), update));
                             }
 
                             @Override
@@ -142,7 +145,12 @@
 
     /** Returns the current time in µs since the Unix epoch, by a clock that never goes back. */
     static long clock() {
-        return CLOCK_OFFSET_MICROS + System.nanoTime() / 1000;
+        return toMicros(System.nanoTime());
+    }
+
+    /** Converts a {@link System#nanoTime} to µs since the Unix epoch. */
+    private static long toMicros(long nanoTime) {
+        return CLOCK_OFFSET_MICROS + nanoTime / 1000;
     }
 
     /** Serves callers until a drain has completed. */
--- a/src/test/java/coralcove/platform/RouterCoreHarness.java
+++ b/src/test/java/coralcove/platform/RouterCoreHarness.java
@@ -41,6 +41,7 @@
             contract.cold_from=0.32
             contract.fall_multiple=3.0
             contract.overload_for=1500000000
+            contract.stop_sending_within=1000000000
             contract.warm_up=15000000000
             discovery=pushed
             family_info.call_length=12000000000,18000000000
@@ -62,6 +63,9 @@
     /** Start time in µs since the epoch, in 2026. */
     static final long START = 1_796_000_000_000_000L;
 
+    /** Interval at which the discovery service answers polls without events. */
+    private static final long POLL_WAIT_MICROS = 1_000_000;
+
     /** Inputs and actions, one a line. */
     final StringBuilder trace = new StringBuilder();
 
@@ -84,6 +88,11 @@
 
     boolean traceDisabled;
     boolean ended;
+
+    /** Whether the discovery service answers each poll; true from its first event on. */
+    boolean discoveryAnswers;
+
+    private long lastPollAnsweredAt = START;
     private long now = START;
 
     RouterCoreHarness() {
@@ -146,7 +155,9 @@
 
     /** The discovery service answers with one event. */
     void listExchanges(long eventNumber, boolean full, DiscoveryUpdate.Entry... entries) {
+        discoveryAnswers = true;
         core.discoveryAnswered(
+                now,
                 now,
                 new DiscoveryUpdate(
                         eventNumber,
@@ -159,6 +170,10 @@
         while (core.nextTickAt() <= until) {
             now = Math.max(now, core.nextTickAt());
             core.tick(now);
+            if (discoveryAnswers && now - lastPollAnsweredAt >= POLL_WAIT_MICROS) {
+                lastPollAnsweredAt = now;
+                core.discoveryAnswered(now, now, new DiscoveryUpdate(0, List.of()));
+            }
             processAll();
             core.allInputsProcessed(now);
         }
--- a/src/test/java/coralcove/platform/RouterCoreTest.java
+++ b/src/test/java/coralcove/platform/RouterCoreTest.java
@@ -838,7 +838,7 @@
         startingHarness.callerSends(
                 1, CallerMessage.withCause(CallerMessage.READINESS_CHECK, 1, 0));
         startingHarness.core.discoveryAnswered(
-                startingHarness.now(), new DiscoveryUpdate(1, List.of()));
+                startingHarness.now(), startingHarness.now(), new DiscoveryUpdate(1, List.of()));
         startingHarness.callerSends(
                 1, CallerMessage.withCause(CallerMessage.READINESS_CHECK, 2, 0));
         assertThat(startingHarness.sentMessages)
--- a/src/test/java/coralcove/platform/discovery/DiscoveryPollTest.java
+++ b/src/test/java/coralcove/platform/discovery/DiscoveryPollTest.java
@@ -68,7 +68,7 @@
                             3,
                             new DiscoveryPoll.Listener() {
                                 @Override
-                                public void updated(DiscoveryUpdate update) {
+                                public void updated(DiscoveryUpdate update, long currentAtNanos) {
                                     updates.add(update.lastEvent());
                                 }
 
@@ -119,7 +119,7 @@
                         3,
                         new DiscoveryPoll.Listener() {
                             @Override
-                            public void updated(DiscoveryUpdate update) {
+                            public void updated(DiscoveryUpdate update, long currentAtNanos) {
                                 log.add("update " + update.lastEvent());
                             }
 
