Bound the calls that callers report, and give each connection a share of them

Cause: EstablishedCalls.reportedByCaller added every report, and full() counted them against the bound of 50,000 for set-ups. Ruled out: the policy (no INVITE, no refusal of its own) and the event queue (bounded).

Change: ReportedCalls keeps 8,000 reported calls, an equal share for each connection that reports; the bound for set-ups counts those that set-ups established, 42,000. A connection has 1,000 unacknowledged releases at most, as reports for unlisted exchanges were owed one each.

--- a/src/main/java/coralcove/platform/EstablishedCalls.java
+++ b/src/main/java/coralcove/platform/EstablishedCalls.java
@@ -17,8 +17,8 @@
  * its other side is notified.
  */
 final class EstablishedCalls {
-    /** Maximum number of established calls; at the limit, set-ups are refused. */
-    private static final int MAX_CALLS = 50_000;
+    /** Maximum number of calls that this router established; at the limit, set-ups are refused. */
+    private static final int MAX_CALLS = 42_000;
 
     /** Maximum number of entries in each map of recent releases and ends. */
     private static final int MAX_REMEMBERED = 4_000;
@@ -43,6 +43,7 @@
     private final RouterCounters counters;
     private final Listener listener;
     private final Map<Long, Call> calls = new LinkedHashMap<>();
+    private final ReportedCalls reportedCalls = new ReportedCalls();
 
     /** Time of the release by call id, for calls that were unknown when they were released. */
     private final Map<Long, Long> releasedUnknownCalls = boundedMap();
@@ -86,7 +87,7 @@
     }
 
     boolean full() {
-        return calls.size() >= MAX_CALLS;
+        return calls.size() - reportedCalls.size() >= MAX_CALLS;
     }
 
     boolean has(long id) {
@@ -127,8 +128,13 @@
             return;
         }
         counters.callsReported++;
+        if (reportedCalls.isOverShare(callerConnection)) {
+            counters.reportsNotKept++;
+            return;
+        }
         exchanges.expectMessages(now, exchange);
         add(now, id, exchange, callerConnection);
+        reportedCalls.add(id, callerConnection).ifPresent(this::forget);
     }
 
     /**
@@ -219,8 +225,15 @@
         remove(now, id, call, SipOutcomes.ofRelease(cause));
     }
 
+    /** Forgets a reported call, for which there is no room any more. */
+    private void forget(long id) {
+        counters.reportsNotKept++;
+        calls.remove(id).exchange.establishedCalls--;
+    }
+
     private void remove(long now, long id, Call call, InviteOutcome outcome) {
         calls.remove(id);
+        reportedCalls.remove(id, call.callerConnection);
         markFinished(now, id);
         call.exchange.establishedCalls--;
         counters.callsEnded++;
--- a/src/main/java/coralcove/platform/ReleaseNotifier.java
+++ b/src/main/java/coralcove/platform/ReleaseNotifier.java
@@ -39,6 +39,12 @@
     /** Maximum number of releases that are owed; the oldest is dropped. */
     private static final int MAX_OWED = 10_000;
 
+    /**
+     * Maximum number of releases that are unacknowledged on one connection; the oldest is dropped.
+     * A client that reports calls which do not exist is sent as many releases.
+     */
+    private static final int MAX_UNACKNOWLEDGED = 1_000;
+
     /** A release that its caller may not have received. */
     private static final class OwedRelease {
         final CallerMessage message;
@@ -106,8 +112,7 @@
     void notifyCaller(long now, long setUpConnection, CallerMessage message) {
         settle(message.callId());
         if (owed.size() >= MAX_OWED) {
-            counters.releasesDropped++;
-            settle(owed.keySet().iterator().next());
+            drop(owed.values().iterator().next());
         }
         OwedRelease release = new OwedRelease(message, now);
         owed.put(message.callId(), release);
@@ -189,6 +194,9 @@
         release.tried.add(to.id);
         release.evidence = strongest(release.evidence, to.evidence);
         to.unacknowledged.add(callId);
+        if (to.unacknowledged.size() > MAX_UNACKNOWLEDGED) {
+            drop(owed.get(to.unacknowledged.iterator().next()));
+        }
         actions.sendToCaller(to.id, release.message);
         timers.cancel(release.timer);
         release.timer = timers.schedule(now + RETRY_AFTER_MICROS, time -> retry(time, release));
@@ -201,10 +209,11 @@
     private void scheduleExpiry(OwedRelease release) {
         long age = release.reachedCaller() ? DELIVERY_WINDOW_MICROS : MAX_AGE_MICROS;
         timers.cancel(release.timer);
-        release.timer = timers.schedule(release.owedSince + age, time -> expire(release));
+        release.timer = timers.schedule(release.owedSince + age, time -> drop(release));
     }
 
-    private void expire(OwedRelease release) {
+    /** Gives up a release that was not acknowledged. */
+    private void drop(OwedRelease release) {
         counters.releasesDropped += release.reachedCaller() ? 0 : 1;
         settle(release.message.callId());
     }
--- a/src/main/java/coralcove/platform/RouterCore.java
+++ b/src/main/java/coralcove/platform/RouterCore.java
@@ -1039,6 +1039,8 @@
                 + releaseNotifier.size()
                 + " unheard "
                 + counters.releasesDropped
+                + " told-not-kept "
+                + counters.reportsNotKept
                 + " timers "
                 + timerCount();
     }
--- a/src/main/java/coralcove/platform/RouterCounters.java
+++ b/src/main/java/coralcove/platform/RouterCounters.java
@@ -24,6 +24,9 @@
     long releasesPassedOn;
     long releasesAcknowledged;
 
+    /** Reported calls that were not kept; printed by {@link RouterCore#counterLine}. */
+    long reportsNotKept;
+
     /** Releases that no caller was there to hear; printed by {@link RouterCore#counterLine}. */
     long releasesDropped;
 
