Serve callers' connections in turns, each with a share of the queue and the sessions

Cause: 4,000 undecided set-ups of one client fill the sessions in hand, and handleSetUp refuses whoever comes next; the callers' queue is first in first out with one bound, at which the thread that reads for everybody waits; undecided set-ups are decided in order of arrival. Told apart by the come-back time, which only the policy's refusals carry.

Change: FairQueue (deficit round robin) orders the callers' events by bytes and the undecided set-ups by number. A connection is suspended above 16 KiB queued; the kernel keeps 64 KiB of it. From half of the sessions in hand on a connection has an equal share; one below its share displaces the newest undecided set-up of the connection with most.

--- a/src/main/java/coralcove/platform/Actions.java
+++ b/src/main/java/coralcove/platform/Actions.java
@@ -11,6 +11,9 @@
     /** Sends a message on a caller's connection. */
     void sendToCaller(long caller, CallerMessage message);
 
+    /** Whether input was read from a caller's connection that the core was not passed yet. */
+    boolean hasQueuedInput(long caller);
+
     /** Closes a caller's connection once everything written before has been sent. */
     void closeCaller(long caller);
 
--- a/src/main/java/coralcove/platform/CallerConnections.java
+++ b/src/main/java/coralcove/platform/CallerConnections.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.LongPredicate;
 
 /**
  * The open connections of callers. Keeps the pending sessions of each, picks the connection on
@@ -170,15 +171,19 @@
     /**
      * Up to two connections to close at the connection limit: the oldest without a call or an
      * acknowledged release, then, while valid senders exceed their share, the longest silent.
+     *
+     * @param hasQueuedInput whether a set-up may have been read and not processed yet; such a
+     *     connection is not closed
      */
-    List<CallerConnection> leastUseful(long now) {
+    List<CallerConnection> leastUseful(long now, LongPredicate hasQueuedInput) {
         List<CallerConnection> found = new ArrayList<>();
         for (CallerConnection caller : connections.values()) {
             if (found.size() < 2
                     && !caller.acknowledgesReleases
                     && !caller.placedOrReportedCall()
                     && caller.pendingSessions.isEmpty()
-                    && now - caller.lastReadAt > GRACE_AT_LIMIT_MICROS) {
+                    && now - caller.lastReadAt > GRACE_AT_LIMIT_MICROS
+                    && !hasQueuedInput.test(caller.id)) {
                 found.add(caller);
             }
         }
@@ -191,7 +196,8 @@
             CallerConnection caller = connections.get(id);
             if (found.size() < 2
                     && caller.pendingSessions.isEmpty()
-                    && now - caller.lastReadAt > GRACE_MICROS) {
+                    && now - caller.lastReadAt > GRACE_MICROS
+                    && !hasQueuedInput.test(caller.id)) {
                 found.add(caller);
             }
         }
--- a/src/main/java/coralcove/platform/PendingCalls.java
+++ b/src/main/java/coralcove/platform/PendingCalls.java
@@ -84,6 +84,9 @@
     private final Timers timers;
     private final Map<Long, PendingCall> calls = new HashMap<>();
 
+    /** Number of connections that have at least one of the calls. */
+    private int callerCount;
+
     PendingCalls(Timers timers) {
         this.timers = timers;
     }
@@ -92,6 +95,11 @@
         return calls.size();
     }
 
+    /** Number of connections that have at least one of the calls. */
+    int callerCount() {
+        return callerCount;
+    }
+
     /** The call of this id, or null if it has its final answer or is unknown. */
     PendingCall get(long id) {
         return calls.get(id);
@@ -115,6 +123,7 @@
             Consumer<PendingCall> onTimeout) {
         PendingCall call = new PendingCall(setUp, caller);
         calls.put(call.id(), call);
+        callerCount += caller.pendingSessions.isEmpty() ? 1 : 0;
         caller.pendingSessions.add(call.id());
         call.timeout = timers.schedule(deadline, time -> onTimeout.accept(call));
         return call;
@@ -128,6 +137,7 @@
         PendingCall call = calls.remove(id);
         if (call != null) {
             call.caller.pendingSessions.remove(id);
+            callerCount -= call.caller.pendingSessions.isEmpty() ? 1 : 0;
             timers.cancel(call.timeout);
             timers.cancel(call.nextDecision);
             if (call.outstanding != null) {
--- a/src/main/java/coralcove/platform/RouterCore.java
+++ b/src/main/java/coralcove/platform/RouterCore.java
@@ -88,8 +88,8 @@
     private final Drain drain = new Drain();
     private final ExchangeListLease listLease;
 
-    /** Set-ups that wait for a routing decision, in order of arrival. */
-    private final ArrayDeque<UndecidedSetUp> undecidedSetUps = new ArrayDeque<>();
+    /** Set-ups that wait for a routing decision; the connections take turns. */
+    private final FairQueue<UndecidedSetUp> undecidedSetUps = new FairQueue<>(1);
 
     /** Sessions whose next INVITE was decided by the routing policy but not sent yet. */
     private final ArrayDeque<PendingCall> unsentInvites = new ArrayDeque<>();
@@ -199,7 +199,7 @@
      */
     public void connectionLimitReached(long arrivedAt) {
         advanceTo(arrivedAt);
-        for (CallerConnection caller : callers.leastUseful(now)) {
+        for (CallerConnection caller : callers.leastUseful(now, actions::hasQueuedInput)) {
             counters.callersClosedForRoom++;
             closeCaller(caller);
         }
@@ -303,10 +303,10 @@
         addEvidence(caller, CallerEvidence.REQUESTED_CALL);
         counters.setUps++;
         long deadline = arrivedAt + timeLimit(setUp);
-        if (pendingCalls.size() >= settings.maxPendingSessions()
-                || establishedCalls.full()
+        if (establishedCalls.full()
                 || !drain.acceptsSetUps(now)
-                || !listLease.isValid(now)) {
+                || !listLease.isValid(now)
+                || !makeRoomForSession(caller)) {
             counters.refused++;
             sendRelease(caller, id, CAUSE_CONGESTION);
             return;
@@ -326,7 +326,27 @@
                         setUp.redialledAfterCut(),
                         arrivedAt,
                         deadline);
-        undecidedSetUps.add(new UndecidedSetUp(pending, session));
+        undecidedSetUps.add(caller.id, new UndecidedSetUp(pending, session), 1);
+    }
+
+    /**
+     * Whether there is room for a further session of this connection. From half of the limit of
+     * pending sessions on, a connection may have an equal share of that limit. At the limit, one
+     * below its share gets the place of the connection with most undecided set-ups.
+     */
+    private boolean makeRoomForSession(CallerConnection caller) {
+        int limit = settings.maxPendingSessions();
+        int share = limit / (pendingCalls.callerCount() + 1);
+        if (pendingCalls.size() >= limit / 2 && caller.pendingSessions.size() >= share) {
+            return false;
+        }
+        while (pendingCalls.size() >= limit && !undecidedSetUps.isEmpty()) {
+            UndecidedSetUp displaced = undecidedSetUps.pollNewestOfLargest();
+            if (pendingCalls.contains(displaced.pending)) {
+                refuse(displaced.session, 0);
+            }
+        }
+        return pendingCalls.size() < limit;
     }
 
     /**
--- a/src/main/java/coralcove/platform/live/EventQueue.java
+++ b/src/main/java/coralcove/platform/live/EventQueue.java
@@ -1,67 +1,117 @@
 package coralcove.platform.live;
 
+import coralcove.platform.FairQueue;
 import java.util.ArrayDeque;
 
 /**
- * The queue of events between the reading threads and the event loop. Events from exchanges and
- * from the process itself take precedence over events from callers, so that a flood of set-ups
- * delays no answer. A thread that adds to a full queue waits, and the kernel then holds the sender
- * back: nothing that was read is lost.
+ * The queue of events between the reading threads and the event loop.
+ *
+ * <p>Events from exchanges and from the process itself take precedence over events from callers, so
+ * that a flood of set-ups delays no answer. A thread that adds one to a full queue waits, and the
+ * kernel then holds the sender back.
+ *
+ * <p>Callers' connections are served in turns, and each is read no further while it has events
+ * queued above its bound: a client that sends at full speed is held back by TCP and delays no
+ * other. Nothing that was read is lost.
  */
 final class EventQueue {
     /** Largest total of bytes queued of each kind: some ten thousand messages. */
     private static final long MAX_BYTES = 2L << 20;
 
-    /** Largest number of events queued of each kind; it also bounds events without bytes. */
-    private static final int MAX_EVENTS = 20_000;
+    /** Largest number of priority events queued; it also bounds events without bytes. */
+    private static final int MAX_PRIORITY_EVENTS = 20_000;
+
+    /** Bytes queued of one caller's connection above which it is read no further. */
+    private static final long MAX_CONNECTION_BYTES = 16 << 10;
+
+    /** Bytes of one caller's connection that are processed in a turn. */
+    private static final long TURN_BYTES = 4 << 10;
+
+    /** Bytes that an event counts besides those of its messages. */
+    private static final int EVENT_OVERHEAD_BYTES = 64;
 
     /** Interval at which a thread that waits at a full queue checks it again. */
     private static final long FULL_WAIT_MS = 50;
 
+    /** The source of the events that belong to no caller's connection. */
+    private static final long NO_CONNECTION = 0;
+
+    /**
+     * Stops and continues reading from callers' connections. Called with the queue locked; it must
+     * neither wait nor call back.
+     */
+    interface FlowControl {
+        void suspend(long connection);
+
+        void resume(long connection);
+    }
+
     /**
      * A queued event.
      *
      * @param action what the event loop runs
      * @param bytes number of message bytes that the event holds in memory
-     * @param fromCaller whether the event comes from a caller and so yields to the others
+     * @param connection the caller's connection, or 0
      */
-    record Event(Runnable action, int bytes, boolean fromCaller) {}
+    record Event(Runnable action, int bytes, long connection) {}
 
+    private final FlowControl flowControl;
     private final ArrayDeque<Event> priorityEvents = new ArrayDeque<>();
-    private final ArrayDeque<Event> callerEvents = new ArrayDeque<>();
+    private final FairQueue<Event> callerEvents = new FairQueue<>(TURN_BYTES);
     private long priorityBytes;
-    private long callerBytes;
     private boolean closed;
 
-    /** Adds an event from an exchange, the discovery service, a peer router or a signal. */
-    void addPriority(int bytes, Runnable action) {
-        add(new Event(action, bytes, false));
-    }
-
-    /** Adds an event from a caller's connection. */
-    void addFromCaller(int bytes, Runnable action) {
-        add(new Event(action, bytes, true));
+    EventQueue(FlowControl flowControl) {
+        this.flowControl = flowControl;
     }
 
-    private synchronized void add(Event event) {
+    /** Adds an event from an exchange, the discovery service, a peer router or a signal. */
+    synchronized void addPriority(int bytes, Runnable action) {
         try {
-            while (!closed && isFull(event)) {
+            while (!closed && isPriorityFull()) {
                 wait(FULL_WAIT_MS);
             }
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
             return;
         }
-        (event.fromCaller ? callerEvents : priorityEvents).add(event);
-        callerBytes += event.fromCaller ? event.bytes : 0;
-        priorityBytes += event.fromCaller ? 0 : event.bytes;
+        priorityEvents.add(new Event(action, bytes, NO_CONNECTION));
+        priorityBytes += bytes;
+        notifyAll();
+    }
+
+    private boolean isPriorityFull() {
+        return priorityBytes > MAX_BYTES || priorityEvents.size() >= MAX_PRIORITY_EVENTS;
+    }
+
+    /** Adds an event that concerns the callers' connections as a whole. */
+    void addForCallers(Runnable action) {
+        addFromCaller(NO_CONNECTION, 0, action);
+    }
+
+    /** Adds an event from a caller's connection. */
+    synchronized void addFromCaller(long connection, int bytes, Runnable action) {
+        callerEvents.add(
+                connection, new Event(action, bytes, connection), bytes + EVENT_OVERHEAD_BYTES);
+        if (callerEvents.queuedCost(connection) > MAX_CONNECTION_BYTES
+                || callerEvents.queuedCost() > MAX_BYTES) {
+            flowControl.suspend(connection);
+        }
         notifyAll();
     }
 
-    private boolean isFull(Event event) {
-        return event.fromCaller
-                ? callerBytes > MAX_BYTES || callerEvents.size() >= MAX_EVENTS
-                : priorityBytes > MAX_BYTES || priorityEvents.size() >= MAX_EVENTS;
+    /**
+     * Adds the last event of a caller's connection, which has closed. Its events are processed
+     * next: nothing must be begun for a caller that has left.
+     */
+    synchronized void addClosedByCaller(long connection, Runnable action) {
+        addFromCaller(connection, 0, action);
+        callerEvents.advance(connection);
+    }
+
+    /** Whether events of a caller's connection wait to be processed. */
+    synchronized boolean hasEventsOf(long connection) {
+        return callerEvents.queuedCost(connection) > 0;
     }
 
     /**
@@ -73,18 +123,23 @@
         if (timeoutUs > 0 && priorityEvents.isEmpty() && callerEvents.isEmpty()) {
             wait(timeoutUs / 1000, (int) (timeoutUs % 1000) * 1000);
         }
-        boolean wasFull =
-                callerBytes > MAX_BYTES
-                        || priorityBytes > MAX_BYTES
-                        || callerEvents.size() >= MAX_EVENTS
-                        || priorityEvents.size() >= MAX_EVENTS;
-        Event event = priorityEvents.isEmpty() ? callerEvents.poll() : priorityEvents.poll();
-        if (event != null) {
-            callerBytes -= event.fromCaller ? event.bytes : 0;
-            priorityBytes -= event.fromCaller ? 0 : event.bytes;
-            if (wasFull) {
-                notifyAll();
-            }
+        return priorityEvents.isEmpty() ? nextFromCallers() : nextPriority();
+    }
+
+    private Event nextPriority() {
+        boolean wasFull = isPriorityFull();
+        Event event = priorityEvents.poll();
+        priorityBytes -= event.bytes;
+        if (wasFull) {
+            notifyAll();
+        }
+        return event;
+    }
+
+    private Event nextFromCallers() {
+        Event event = callerEvents.poll();
+        if (event != null && callerEvents.queuedCost(event.connection) == 0) {
+            flowControl.resume(event.connection);
         }
         return event;
     }
--- a/src/main/java/coralcove/platform/live/SessionRouterServer.java
+++ b/src/main/java/coralcove/platform/live/SessionRouterServer.java
@@ -45,7 +45,7 @@
 
     private final Path configurationFile;
     private final JsonLog log;
-    private final EventQueue events = new EventQueue();
+    private final EventQueue events = new EventQueue(new CallerFlowControl());
     private final RouterCore core;
     private final TcpConnections connections;
     private final PeerChannel peerChannel;
@@ -280,25 +280,23 @@
     @Override
     public void callerOpened(long callerId) {
         long time = clock();
-        events.addFromCaller(0, () -> core.callerOpened(time, callerId));
+        events.addFromCaller(callerId, 0, () -> core.callerOpened(time, callerId));
     }
 
     @Override
     public void callerRead(long callerId, long time, byte[] bytes) {
-        events.addFromCaller(bytes.length, () -> core.callerRead(time, callerId, bytes));
+        events.addFromCaller(callerId, bytes.length, () -> core.callerRead(time, callerId, bytes));
     }
 
     @Override
     public void callerClosed(long callerId) {
         long time = clock();
-        events.addFromCaller(0, () -> core.callerClosed(time, callerId));
+        events.addClosedByCaller(callerId, () -> core.callerClosed(time, callerId));
     }
 
     @Override
     public void callerLimitNear() {
-        // Queued behind everything that was read before, so that a set-up among it is not lost with
-        // its connection.
-        events.addFromCaller(0, () -> core.connectionLimitReached(clock()));
+        events.addForCallers(() -> core.connectionLimitReached(clock()));
     }
 
     @Override
@@ -318,8 +316,26 @@
         events.addPriority(0, () -> core.exchangeConnectionDown(time, connectionId, cause));
     }
 
+    /** Holds back callers' connections that send faster than they are processed. */
+    private final class CallerFlowControl implements EventQueue.FlowControl {
+        @Override
+        public void suspend(long callerId) {
+            connections.suspendReading(callerId);
+        }
+
+        @Override
+        public void resume(long callerId) {
+            connections.resumeReading(callerId);
+        }
+    }
+
     // ---- actions of the core
 
+    @Override
+    public boolean hasQueuedInput(long callerId) {
+        return events.hasEventsOf(callerId);
+    }
+
     @Override
     public void sendToCaller(long callerId, CallerMessage message) {
         connections.sendToCaller(callerId, message.encode());
--- a/src/main/java/coralcove/platform/live/TcpConnections.java
+++ b/src/main/java/coralcove/platform/live/TcpConnections.java
@@ -14,6 +14,7 @@
 import org.apache.mina.core.session.AttributeKey;
 import org.apache.mina.core.session.IoSession;
 import org.apache.mina.transport.socket.SocketSessionConfig;
+import org.apache.mina.transport.socket.nio.NioSession;
 import org.apache.mina.transport.socket.nio.NioSocketAcceptor;
 import org.apache.mina.transport.socket.nio.NioSocketConnector;
 
@@ -27,11 +28,17 @@
     /** Largest number of bytes waiting to be written to one peer. */
     private static final long MAX_UNWRITTEN_BYTES = 256 << 10;
 
+    /** Largest number of bytes read from a caller at a time: one turn of its connection. */
+    private static final int MAX_CALLER_READ_BYTES = 4 << 10;
+
+    /** Largest number of bytes read from an exchange at a time. */
+    private static final int MAX_EXCHANGE_READ_BYTES = 16 << 10;
+
     /**
-     * Largest number of bytes read at a time: a connection that sends at full speed must not fill
-     * the event queue by itself.
+     * Size of the kernel's receive buffer of a caller's connection. It bounds what a client has
+     * sent and this router has not read when the client closes its connection.
      */
-    private static final int MAX_READ_BUFFER_BYTES = 16 << 10;
+    private static final int CALLER_RECEIVE_BUFFER_BYTES = 64 << 10;
 
     /**
      * Interval at which the number of remaining sessions is checked at shutdown. It is polled
@@ -92,18 +99,19 @@
         acceptor.setBacklog(1024);
         // Unbinding must not close the connections that are open.
         acceptor.setCloseOnDeactivation(false);
-        configure(acceptor.getSessionConfig());
+        configure(acceptor.getSessionConfig(), MAX_CALLER_READ_BYTES);
+        acceptor.getSessionConfig().setReceiveBufferSize(CALLER_RECEIVE_BUFFER_BYTES);
         connector.setHandler(new ExchangeHandler());
         connector.setConnectTimeoutMillis(connectTimeoutMs);
         connector.setConnectTimeoutCheckInterval(50);
-        configure(connector.getSessionConfig());
+        configure(connector.getSessionConfig(), MAX_EXCHANGE_READ_BYTES);
     }
 
-    private static void configure(SocketSessionConfig config) {
+    private static void configure(SocketSessionConfig config, int maxReadBytes) {
         config.setTcpNoDelay(true);
         config.setMinReadBufferSize(2048);
         config.setReadBufferSize(4096);
-        config.setMaxReadBufferSize(MAX_READ_BUFFER_BYTES);
+        config.setMaxReadBufferSize(maxReadBytes);
     }
 
     /** Starts accepting callers' connections on the address. */
@@ -157,6 +165,24 @@
         }
     }
 
+    /** Reads no further from a caller's connection; its client is then held back by TCP. */
+    void suspendReading(long callerId) {
+        IoSession session = callerSessions.get(callerId);
+        if (session != null) {
+            session.suspendRead();
+        }
+    }
+
+    /** Continues to read from a caller's connection. */
+    void resumeReading(long callerId) {
+        IoSession session = callerSessions.get(callerId);
+        if (session != null && session.isReadSuspended()) {
+            session.resumeRead();
+            // MINA does not wake its selector for the change; a flush does.
+            processor.flush((NioSession) session);
+        }
+    }
+
     /** Closes a caller's connection once pending writes have gone out. */
     void closeCaller(long callerId) {
         IoSession session = callerSessions.remove(callerId);
--- a/src/test/java/coralcove/platform/RouterCoreHarness.java
+++ b/src/test/java/coralcove/platform/RouterCoreHarness.java
@@ -328,6 +328,11 @@
         note("  -> caller " + caller + " " + describe(message));
     }
 
+    @Override
+    public boolean hasQueuedInput(long caller) {
+        return false;
+    }
+
     @Override
     public void closeCaller(long caller) {
         closedCallers.add(caller);
