--- a/src/main/java/coralcove/platform/EstablishedCalls.java
+++ b/src/main/java/coralcove/platform/EstablishedCalls.java
@@ -20,7 +20,7 @@
     /** Maximum number of calls that this router established; at the limit, set-ups are refused. */
     private static final int MAX_CALLS = 42_000;
 
-    /** Maximum number of entries in each map of recent releases and ends. */
+    /** Maximum number of releases of unknown calls that are remembered. */
     private static final int MAX_REMEMBERED = 4_000;
 
     /** Time for which the release of an unknown call is remembered: messages may cross it. */
@@ -42,17 +42,20 @@
     private final Actions actions;
     private final RouterCounters counters;
     private final Listener listener;
+    private final CallHistory history;
     private final Map<Long, Call> calls = new LinkedHashMap<>();
     private final ReportedCalls reportedCalls = new ReportedCalls();
 
     /** Time of the release by call id, for calls that were unknown when they were released. */
-    private final Map<Long, Long> releasedUnknownCalls = boundedMap();
+    private final Map<Long, Long> releasedUnknownCalls =
+            new LinkedHashMap<>() {
+                private static final long serialVersionUID = 1;
 
-    /**
-     * End time by id of the sessions and calls that this router has ended: a repeated release of
-     * one is not passed on.
-     */
-    private final Map<Long, Long> finishedIds = boundedMap();
+                @Override
+                protected boolean removeEldestEntry(Map.Entry<Long, Long> eldest) {
+                    return size() > MAX_REMEMBERED;
+                }
+            };
 
     /** Ids of released calls by exchange, whose BYE waits for a connection to come up. */
     private final Map<RemoteExchange, ArrayDeque<Long>> queuedReleases = new HashMap<>();
@@ -62,26 +65,16 @@
             ReleaseNotifier releaseNotifier,
             Actions actions,
             RouterCounters counters,
+            CallHistory history,
             Listener listener) {
         this.exchanges = exchanges;
         this.releaseNotifier = releaseNotifier;
         this.actions = actions;
         this.counters = counters;
+        this.history = history;
         this.listener = listener;
     }
 
-    /** Creates a map that drops its oldest entries beyond {@link #MAX_REMEMBERED}. */
-    static <T> Map<Long, T> boundedMap() {
-        return new LinkedHashMap<>() {
-            private static final long serialVersionUID = 1;
-
-            @Override
-            protected boolean removeEldestEntry(Map.Entry<Long, T> eldest) {
-                return size() > MAX_REMEMBERED;
-            }
-        };
-    }
-
     int size() {
         return calls.size();
     }
@@ -180,9 +173,7 @@
         if (call != null && call.exchange == exchange) {
             releaseNotifier.reportConfirmed(now, call.callerConnection);
             endAndNotifyCaller(now, id, call, releaseCause);
-        } else if (call == null
-                && !releasedUnknownCalls.containsKey(id)
-                && !finishedIds.containsKey(id)) {
+        } else if (call == null && !releasedUnknownCalls.containsKey(id) && !history.contains(id)) {
             // Established before this router's start: its caller is notified, even if it reports
             // the call only after this.
             releasedUnknownCalls.put(id, now);
@@ -234,14 +225,9 @@
     private void remove(long now, long id, Call call, InviteOutcome outcome) {
         calls.remove(id);
         reportedCalls.remove(id, call.callerConnection);
-        markFinished(now, id);
+        history.ended(id);
         call.exchange.establishedCalls--;
         counters.callsEnded++;
         listener.callEnded(now, id, call.exchange, outcome);
     }
-
-    /** Remembers that this router has ended a session or call. */
-    void markFinished(long now, long id) {
-        finishedIds.put(id, now);
-    }
 }
--- a/src/main/java/coralcove/platform/PendingCalls.java
+++ b/src/main/java/coralcove/platform/PendingCalls.java
@@ -73,6 +73,11 @@
             return outstanding != null && outstanding.connection == connection;
         }
 
+        /** Whether there was an INVITE, whatever became of it. */
+        boolean hadInvite() {
+            return inviteCount > 0;
+        }
+
         /** Whether its INVITE waits for a connection to this exchange. */
         boolean waitsForConnectionTo(RemoteExchange exchange) {
             return outstanding != null
--- a/src/main/java/coralcove/platform/RouterCore.java
+++ b/src/main/java/coralcove/platform/RouterCore.java
@@ -94,8 +94,7 @@
     /** Sessions whose next INVITE was decided by the routing policy but not sent yet. */
     private final ArrayDeque<PendingCall> unsentInvites = new ArrayDeque<>();
 
-    /** Exchanges of cancelled INVITEs by call id: a 200 may have crossed the CANCEL. */
-    private final Map<Long, RemoteExchange> cancelledInvites = EstablishedCalls.boundedMap();
+    private final CallHistory history = new CallHistory();
 
     /** Broadcasts to peer routers, sent at the end of the round. */
     private final List<byte[]> peerMessages = new ArrayList<>();
@@ -140,6 +139,7 @@
                         releaseNotifier,
                         actions,
                         counters,
+                        history,
                         (at, id, exchange, outcome) ->
                                 pendingSessions.inviteEnded(
                                         at,
@@ -289,9 +289,9 @@
             return;
         }
         PendingCall existing = pendingCalls.get(id);
-        if (existing != null || establishedCalls.has(id)) {
+        if (existing != null || establishedCalls.has(id) || history.contains(id)) {
             // Two set-ups with one id: the answer to one could be taken for the answer to the
-            // other.
+            // other. An INVITE that was given up may still be answered.
             counters.invalidSetUps++;
             sendRelease(caller, id, CAUSE_INVALID_CALL_REFERENCE);
             if (existing != null && existing.caller == caller) {
@@ -442,7 +442,7 @@
             return;
         }
         counters.abandoned++;
-        establishedCalls.markFinished(now, id);
+        rememberInvites(pending);
         Invite invite = pendingCalls.endInvite(pending);
         if (invite != null && invite.connection != null) {
             sendCancel(pending, invite);
@@ -502,7 +502,7 @@
 
     /** Cancels an INVITE and remembers it, as a 200 may cross the CANCEL. */
     private void sendCancel(PendingCall pending, Invite invite) {
-        cancelledInvites.put(pending.setUp.callId(), invite.exchange);
+        history.cancelled(pending.id(), invite.exchange);
         actions.sendToExchange(
                 invite.connection.id,
                 SignalingMessages.cancel(
@@ -689,18 +689,16 @@
     private void handleUnexpectedResponse(
             ExchangeConnection connection, long id, SipMessage message, PendingCall pending) {
         counters.unexpectedResponses++;
-        if (message.status() < 300 && pending == null && !establishedCalls.has(id)) {
-            if (cancelledInvites.get(id) == connection.exchange) {
-                actions.sendToExchange(
-                        connection.id,
-                        SignalingMessages.ack(
-                                id,
-                                (int) Math.max(1, message.cseqNumber()),
-                                SignalingMessages.formatCallId(id)));
-                actions.sendToExchange(
-                        connection.id,
-                        SignalingMessages.bye(id, SipOutcomes.CAUSE_NORMAL_CLEARING));
-            }
+        boolean unused = pending == null && !establishedCalls.has(id);
+        if (message.status() < 300 && unused && history.wasCancelledAt(id, connection.exchange)) {
+            actions.sendToExchange(
+                    connection.id,
+                    SignalingMessages.ack(
+                            id,
+                            (int) Math.max(1, message.cseqNumber()),
+                            SignalingMessages.formatCallId(id)));
+            actions.sendToExchange(
+                    connection.id, SignalingMessages.bye(id, SipOutcomes.CAUSE_NORMAL_CLEARING));
         }
     }
 
@@ -906,10 +904,16 @@
 
     private void sendFinalAnswer(long id, CallerMessage message) {
         PendingCall pending = pendingCalls.remove(id);
-        establishedCalls.markFinished(now, id);
+        rememberInvites(pending);
         actions.sendToCaller(pending.caller.id, message);
     }
 
+    private void rememberInvites(PendingCall pending) {
+        if (pending.hadInvite()) {
+            history.ended(pending.id());
+        }
+    }
+
     @Override
     public void subscribe() {
         // The exchange list is polled continuously; there is nothing to start.
--- a/src/test/java/coralcove/platform/live/SessionRouterServerTest.java
+++ b/src/test/java/coralcove/platform/live/SessionRouterServerTest.java
@@ -102,6 +102,28 @@
         }
     }
 
+    /** Guards against an id that stands twice as it comes again after its client has left. */
+    @Test
+    void sendsNoSecondInviteForAnIdThatComesAgainOnAnotherConnection() throws Exception {
+        try (ServerSocket exchange = SessionRouterHarness.listenOnLoopback();
+                SessionRouterHarness harness =
+                        new SessionRouterHarness(
+                                dir, 256, SessionRouterHarness.address(exchange))) {
+            CallerConnection caller = harness.connectWithExchange(exchange);
+            CallerConnection leaving = harness.connectCaller();
+            leaving.send(SessionRouterHarness.setUp(0xa1, 5_000));
+            ExchangeConnection connection = harness.awaitMessage();
+            SipMessage invite = connection.expect("INVITE");
+            leaving.socket.close();
+            connection.expect("CANCEL");
+            caller.send(SessionRouterHarness.setUp(0xa1, 5_000));
+            assertThat(caller.expect(CallerMessage.RELEASE).cause(0)).isEqualTo(81);
+            connection.send(SessionRouterHarness.okAnswer(invite));
+            connection.expect("ACK");
+            connection.expect("BYE");
+        }
+    }
+
     @Test
     void forwardsAnAnswerAndItsReleaseFromOneReadInOrderWithoutTheDuplicate() throws Exception {
         try (ServerSocket exchange = SessionRouterHarness.listenOnLoopback();
