Tell a new exchange from the one that had its address by its start, not by the address

Cause: the new exchange accepts the connections that Exchanges opens for the old one, and its reports keep the old one's lastHeardAt fresh; once both are listed, markPredecessorGone waits for connections that lead to the new one to fall silent.

Change: connections of the older exchange that came up since the newer one started are closed, the calls set up on them are the newer one's, and all others of the older one are released, unless a connection from before was heard since.

--- a/src/main/java/coralcove/platform/EstablishedCalls.java
+++ b/src/main/java/coralcove/platform/EstablishedCalls.java
@@ -29,8 +29,15 @@
     /** Maximum number of releases that wait for a connection to one exchange. */
     private static final int MAX_QUEUED_RELEASES = 1_000;
 
-    /** An established call; its caller's connection may have closed since. */
-    private record Call(RemoteExchange exchange, long callerConnection, long establishedAt) {}
+    /**
+     * An established call; its caller's connection may have closed since. {@code connectionUpAt} is
+     * when the connection to the exchange on which it was set up came up, or 0 if it was reported.
+     */
+    private record Call(
+            RemoteExchange exchange,
+            long callerConnection,
+            long establishedAt,
+            long connectionUpAt) {}
 
     /** Is notified when a call has ended. */
     interface Listener {
@@ -87,10 +94,34 @@
         return calls.containsKey(id);
     }
 
-    /** Adds a call that is established now. */
-    void add(long now, long id, RemoteExchange exchange, long callerConnection) {
-        calls.put(id, new Call(exchange, callerConnection, now));
-        exchange.establishedCalls++;
+    /** Adds a call that was established now on this connection to its exchange. */
+    void add(long now, long id, ExchangeConnection connection, long callerConnection) {
+        add(id, new Call(connection.exchange, callerConnection, now, connection.upAt));
+    }
+
+    private void add(long id, Call call) {
+        calls.put(id, call);
+        call.exchange.establishedCalls++;
+    }
+
+    /**
+     * Moves the calls of an exchange that were set up on connections which came up since this time
+     * to the newer exchange, which is where these connections led.
+     */
+    void moveCalls(RemoteExchange older, RemoteExchange newer, long connectionsUpSince) {
+        for (Map.Entry<Long, Call> each : calls.entrySet()) {
+            Call call = each.getValue();
+            if (call.exchange == older && call.connectionUpAt >= connectionsUpSince) {
+                each.setValue(
+                        new Call(
+                                newer,
+                                call.callerConnection,
+                                call.establishedAt,
+                                call.connectionUpAt));
+                older.establishedCalls--;
+                newer.establishedCalls++;
+            }
+        }
     }
 
     /**
@@ -126,7 +157,7 @@
             return;
         }
         exchanges.expectMessages(now, exchange);
-        add(now, id, exchange, callerConnection);
+        add(id, new Call(exchange, callerConnection, now, 0));
         reportedCalls.add(id, callerConnection).ifPresent(this::forget);
     }
 
--- a/src/main/java/coralcove/platform/Exchanges.java
+++ b/src/main/java/coralcove/platform/Exchanges.java
@@ -138,6 +138,11 @@
             this.name = name;
         }
 
+        /** Whether its process started before that of the other, as far as the list tells. */
+        boolean isOlderThan(RemoteExchange other) {
+            return startedAt < other.startedAt || startedAt == other.startedAt && id < other.id;
+        }
+
         boolean hasConnectionUp() {
             return connections.stream().anyMatch(connection -> connection.up);
         }
@@ -148,6 +153,13 @@
         /** An exchange has died, or is gone: all calls established there are over. */
         void exchangeLost(long now, RemoteExchange exchange, String reason);
 
+        /**
+         * A newer exchange has the address of one that is gone: calls set up on connections that
+         * came up since {@code replacedAt} are established at the newer one.
+         */
+        void exchangeReplaced(
+                long now, RemoteExchange older, RemoteExchange newer, long replacedAt);
+
         /** An exchange has restarted: calls established before {@code startedAt} are over. */
         void exchangeRestarted(long now, RemoteExchange exchange);
 
@@ -293,17 +305,45 @@
      * the newer one.
      */
     private void markPredecessorGone(long now, RemoteExchange newer, List<Exchange> changed) {
-        for (RemoteExchange exchange : byName.values()) {
+        for (RemoteExchange exchange : List.copyOf(byName.values())) {
             if (exchange != newer
                     && newer.address.equals(exchange.address)
-                    && exchange.startedAt < newer.startedAt
-                    && exchange.phase != Phase.GONE) {
-                markGone(now, exchange);
-                changed.add(
-                        new Exchange(
-                                exchange.id, exchange.number, exchange.phase, exchange.startedAt));
+                    && exchange.isOlderThan(newer)) {
+                boolean wasGone = exchange.phase == Phase.GONE;
+                replace(now, exchange, newer);
+                if (!wasGone) {
+                    changed.add(
+                            new Exchange(
+                                    exchange.id,
+                                    exchange.number,
+                                    exchange.phase,
+                                    exchange.startedAt));
+                }
+            }
+        }
+    }
+
+    /**
+     * A newer exchange has the address of an older one, which is gone. Connections that came up
+     * since the newer one started lead to it, whatever this router took them for: what was heard on
+     * them is no sign of life of the older one, and calls set up on them stand at the newer one.
+     */
+    private void replace(long now, RemoteExchange older, RemoteExchange newer) {
+        setGone(now, older);
+        long replacedAt = newer.startedAt > 0 ? newer.startedAt : now;
+        for (ExchangeConnection connection : List.copyOf(older.connections)) {
+            if (!connection.up || connection.upAt >= replacedAt) {
+                close(now, connection, "replaced");
             }
         }
+        listener.exchangeReplaced(now, older, newer, replacedAt);
+        boolean heardSince =
+                older.connections.stream()
+                        .anyMatch(connection -> connection.lastHeardAt >= replacedAt);
+        if (!heardSince) {
+            listener.exchangeLost(now, older, "replaced");
+            closeAll(now, older, "replaced");
+        }
     }
 
     /**
@@ -311,14 +351,18 @@
      * connection is up.
      */
     private void markGone(long now, RemoteExchange exchange) {
-        exchange.goneAt = exchange.phase == Phase.GONE ? exchange.goneAt : now;
-        exchange.phase = Phase.GONE;
+        setGone(now, exchange);
         if (!exchange.hasConnectionUp()) {
             listener.exchangeLost(now, exchange, "gone");
             closeAll(now, exchange, "gone");
         }
     }
 
+    private static void setGone(long now, RemoteExchange exchange) {
+        exchange.goneAt = exchange.phase == Phase.GONE ? exchange.goneAt : now;
+        exchange.phase = Phase.GONE;
+    }
+
     private void closeAll(long now, RemoteExchange exchange, String reason) {
         for (ExchangeConnection connection : List.copyOf(exchange.connections)) {
             close(now, connection, reason);
--- a/src/main/java/coralcove/platform/RouterCore.java
+++ b/src/main/java/coralcove/platform/RouterCore.java
@@ -672,7 +672,7 @@
         }
         pendingCalls.remove(id);
         long elapsed = arrivedAt - pendingCalls.endInvite(pending).sentAt;
-        establishedCalls.add(now, id, connection.exchange, pending.caller.id);
+        establishedCalls.add(now, id, connection, pending.caller.id);
         counters.countEstablished(elapsed);
         actions.sendToCaller(
                 pending.caller.id,
@@ -787,6 +787,12 @@
             failUnsentInvites(exchange);
         }
 
+        @Override
+        public void exchangeReplaced(
+                long at, RemoteExchange older, RemoteExchange newer, long replacedAt) {
+            establishedCalls.moveCalls(older, newer, replacedAt);
+        }
+
         @Override
         public void exchangeRestarted(long at, RemoteExchange exchange) {
             establishedCalls.endCallsBefore(at, exchange, exchange.startedAt);
--- a/src/test/java/coralcove/platform/live/SessionRouterServerTest.java
+++ b/src/test/java/coralcove/platform/live/SessionRouterServerTest.java
@@ -124,6 +124,41 @@
         }
     }
 
+    /** Guards against calls that are never released as the newer exchange's messages are heard. */
+    @Test
+    void releasesCallsOfAnExchangeWhoseAddressANewerOneHas() throws Exception {
+        try (ServerSocket exchange = SessionRouterHarness.listenOnLoopback();
+                SessionRouterHarness harness =
+                        new SessionRouterHarness(
+                                dir, 256, SessionRouterHarness.address(exchange))) {
+            CallerConnection caller = harness.connectWithExchange(exchange);
+            caller.send(SessionRouterHarness.setUp(0xa1, 5_000));
+            ExchangeConnection connection = harness.awaitMessage();
+            connection.send(SessionRouterHarness.okAnswer(connection.expect("INVITE")));
+            caller.expect(CallerMessage.ANSWER);
+            // From here on the stub plays the newer process.
+            long startedMs = System.currentTimeMillis();
+            for (ExchangeConnection each : List.copyOf(harness.exchangeConnections)) {
+                each.reset();
+            }
+            harness.exchangeConnections.clear();
+            harness.acceptConnections(exchange, 2);
+            SessionRouterHarness.answerPoll(
+                    harness.discovery,
+                    2,
+                    SessionRouterHarness.listEvent(
+                                    2,
+                                    false,
+                                    "s-2",
+                                    SessionRouterHarness.address(exchange),
+                                    "in_service")
+                            .replace("\"cell\"", "\"started_ms\":" + startedMs + ",\"cell\""));
+            CallerMessage release = caller.expect(CallerMessage.RELEASE);
+            assertThat(release.callId()).isEqualTo(0xa1);
+            assertThat(release.cause(0)).isEqualTo(41);
+        }
+    }
+
     @Test
     void forwardsAnAnswerAndItsReleaseFromOneReadInOrderWithoutTheDuplicate() throws Exception {
         try (ServerSocket exchange = SessionRouterHarness.listenOnLoopback();
