Keep the newer exchange reporting in the socket test of a reused address

Cause: releasesCallsOfAnExchangeWhoseAddressANewerOneHas passed on the code before its fix too, since a newer exchange that falls silent is given up after 3 s.

Change: the stub reports each 100 ms, as exchanges do on open connections.

Result: it fails on the code before (no release in 20 s) and passes now.

--- a/src/test/java/coralcove/platform/live/SessionRouterServerTest.java
+++ b/src/test/java/coralcove/platform/live/SessionRouterServerTest.java
@@ -153,6 +153,16 @@
                                     SessionRouterHarness.address(exchange),
                                     "in_service")
                             .replace("\"cell\"", "\"started_ms\":" + startedMs + ",\"cell\""));
+            List<ExchangeConnection> newer = List.copyOf(harness.exchangeConnections);
+            SessionRouterHarness.start(
+                    "reports",
+                    () -> {
+                        // Reports go on until the router closes the connection.
+                        while (true) {
+                            newer.get(0).send(SessionRouterHarness.freeCircuits());
+                            TimeUnit.MILLISECONDS.sleep(100);
+                        }
+                    });
             CallerMessage release = caller.expect(CallerMessage.RELEASE);
             assertThat(release.callId()).isEqualTo(0xa1);
             assertThat(release.cause(0)).isEqualTo(41);
