Spare callers' connections at the limit while other clients exceed their share

Cause: CallerConnections.leastUseful closed the valid sender that was idle longest, and any valid message makes one: callers that send five set-ups a second are idle longer than clients that have just connected.

Change: connections with proof of being a caller's are closed for room only where they exceed the share of valid senders by themselves.

--- a/src/main/java/coralcove/platform/CallerConnections.java
+++ b/src/main/java/coralcove/platform/CallerConnections.java
@@ -155,7 +155,8 @@
                                         && now - each.lastReadAt > SETTLED_MICROS)
                 .sorted(
                         Comparator.<CallerConnection, Boolean>comparing(
-                                        each -> each.acknowledgesReleases)
+                                        each -> each.evidence.isProof())
+                                .thenComparing(each -> each.acknowledgesReleases)
                                 .thenComparing(each -> each.lastReadAt))
                 .limit(
                         Math.max(
@@ -170,7 +171,8 @@
 
     /**
      * Up to two connections to close at the connection limit: the oldest without a call or an
-     * acknowledged release, then, while valid senders exceed their share, the longest silent.
+     * acknowledged release, then, while valid senders exceed their share, the longest silent
+     * without proof of being a caller's, then, while those with proof exceed it, any of these.
      *
      * @param hasQueuedInput whether a set-up may have been read and not processed yet; such a
      *     connection is not closed
@@ -187,21 +189,30 @@
                 found.add(caller);
             }
         }
-        // The first valid sender is the one idle longest. They keep at least a third of the
-        // descriptors.
-        for (Long id :
-                validSenders().size() > descriptorBudget.maxValidSenders()
-                        ? validSenders()
-                        : Set.<Long>of()) {
+        if (validSenders().size() > descriptorBudget.maxValidSenders()) {
+            findLongestIdle(found, now, hasQueuedInput, false);
+        }
+        // Callers keep at least a third of the descriptors.
+        long proven = connections.values().stream().filter(each -> each.evidence.isProof()).count();
+        if (proven > descriptorBudget.maxValidSenders()) {
+            findLongestIdle(found, now, hasQueuedInput, true);
+        }
+        return found;
+    }
+
+    /** Adds the valid senders that are idle longest, up to two; of callers' or of all others. */
+    private void findLongestIdle(
+            List<CallerConnection> found, long now, LongPredicate hasQueuedInput, boolean proven) {
+        for (Long id : validSenders()) {
             CallerConnection caller = connections.get(id);
             if (found.size() < 2
+                    && caller.evidence.isProof() == proven
                     && caller.pendingSessions.isEmpty()
                     && now - caller.lastReadAt > GRACE_MICROS
                     && !hasQueuedInput.test(caller.id)) {
                 found.add(caller);
             }
         }
-        return found;
     }
 
     /** The connections whose message was not completed in time. */
