--- a/src/test/java/coralcove/platform/CallHistoryTest.java
+++ b/src/test/java/coralcove/platform/CallHistoryTest.java
@@ -17,10 +17,6 @@
         }
     }
 
-    private long count(String part) {
-        return harness.sentMessages.stream().filter(each -> each.contains(part)).count();
-    }
-
     private void establishAndRelease(long call) {
         harness.callerSends(2, harness.setUp(call, 1, 1500));
         long connection = harness.connectionOf(call);
@@ -38,11 +34,11 @@
         harness.callerSends(2, harness.setUp(0x301, 1, 1500));
         harness.exchangeSends(connection, RouterCoreHarness.ok(0x301));
         harness.callerSends(3, harness.setUp(0x301, 1, 1500));
-        assertThat(count(" INVITE")).isEqualTo(1);
-        assertThat(count("CANCEL")).isEqualTo(1);
-        assertThat(count("BYE sip:0000000000000301@net")).isEqualTo(1);
-        assertThat(count("caller 2 release 301 cause 81")).isEqualTo(1);
-        assertThat(count("caller 3 release 301 cause 81")).isEqualTo(1);
+        assertThat(harness.count(" INVITE")).isEqualTo(1);
+        assertThat(harness.count("CANCEL")).isEqualTo(1);
+        assertThat(harness.count("BYE sip:0000000000000301@net")).isEqualTo(1);
+        assertThat(harness.count("caller 2 release 301 cause 81")).isEqualTo(1);
+        assertThat(harness.count("caller 3 release 301 cause 81")).isEqualTo(1);
     }
 
     /** Guards against a second final message, or INVITE, as refusals push an id out of memory. */
@@ -59,6 +55,6 @@
         }
         harness.sentMessages.clear();
         harness.exchangeSends(1, RouterCoreHarness.bye(0x301, 16));
-        assertThat(count("caller")).isZero();
+        assertThat(harness.count("caller")).isZero();
     }
 }
--- a/src/test/java/coralcove/platform/ExchangeListLeaseTest.java
+++ b/src/test/java/coralcove/platform/ExchangeListLeaseTest.java
@@ -22,10 +22,6 @@
         harness.callerSends(1, CallerMessage.withCause(CallerMessage.READINESS_CHECK, 1, 0));
     }
 
-    private long count(String part) {
-        return harness.sentMessages.stream().filter(each -> each.contains(part)).count();
-    }
-
     private void answerPoll(long listCurrentAtMs) {
         harness.core.discoveryAnswered(
                 harness.now(),
@@ -43,17 +39,17 @@
             harness.exchangeSends(1, RouterCoreHarness.bye(call, 16));
             harness.reportState(1, "x0:40;x1:40");
         }
-        assertThat(count(" INVITE")).isEqualTo(EXPIRES_MS / 100 - 1);
+        assertThat(harness.count(" INVITE")).isEqualTo(EXPIRES_MS / 100 - 1);
         harness.advanceTo(EXPIRES_MS);
         harness.callerSends(1, harness.setUp(0x1001, 1, 1500));
-        assertThat(count("call 1001,")).isZero();
-        assertThat(count("caller 1 release 1001 cause 42")).isEqualTo(1);
+        assertThat(harness.count("call 1001,")).isZero();
+        assertThat(harness.count("caller 1 release 1001 cause 42")).isEqualTo(1);
         assertThat(harness.trace.toString()).containsOnlyOnce("log list-expired");
         harness.advanceTo(12_000);
         answerPoll(12_000);
         assertThat(harness.trace.toString()).containsOnlyOnce("log list-renewed");
         harness.callerSends(1, harness.setUp(0x1002, 1, 1500));
-        assertThat(count("call 1002,")).isEqualTo(1);
+        assertThat(harness.count("call 1002,")).isEqualTo(1);
     }
 
     /**
@@ -65,10 +61,10 @@
         answerPoll(1_000);
         harness.advanceTo(1_000 + EXPIRES_MS);
         harness.callerSends(1, harness.setUp(0x1001, 1, 1500));
-        assertThat(count("call 1001,")).isZero();
+        assertThat(harness.count("call 1001,")).isZero();
         answerPoll(500);
         harness.callerSends(1, harness.setUp(0x1002, 1, 1500));
-        assertThat(count("call 1002,")).isZero();
+        assertThat(harness.count("call 1002,")).isZero();
     }
 
     /**
@@ -81,11 +77,11 @@
         harness.connectionDown(3, ConnectionLoss.BROKEN);
         harness.callerSends(1, harness.setUp(0x1001, 1, 1500));
         harness.advanceTo(EXPIRES_MS + 50);
-        assertThat(count("caller 1 release 1001 cause 42")).isEqualTo(1);
+        assertThat(harness.count("caller 1 release 1001 cause 42")).isEqualTo(1);
         harness.connectAll();
         harness.processAll();
-        assertThat(count(" INVITE")).isZero();
-        assertThat(count("release 1001")).isEqualTo(1);
+        assertThat(harness.count(" INVITE")).isZero();
+        assertThat(harness.count("release 1001")).isEqualTo(1);
     }
 
     /**
@@ -103,7 +99,7 @@
         harness.callerSends(1, harness.setUp(0x1001, 1, 1500));
         harness.connectionDown(harness.connectionOf(0x1001), ConnectionLoss.BROKEN);
         harness.advanceTo(EXPIRES_MS + 400);
-        assertThat(count(" INVITE")).isEqualTo(1);
-        assertThat(count("caller 1 release 1001 cause 38")).isEqualTo(1);
+        assertThat(harness.count(" INVITE")).isEqualTo(1);
+        assertThat(harness.count("caller 1 release 1001 cause 38")).isEqualTo(1);
     }
 }
--- a/src/test/java/coralcove/platform/FloodTest.java
+++ b/src/test/java/coralcove/platform/FloodTest.java
@@ -13,10 +13,6 @@
 
     private final RouterCoreHarness harness = RouterCoreHarness.serving();
 
-    private long count(String part) {
-        return harness.sentMessages.stream().filter(each -> each.contains(part)).count();
-    }
-
     /** One read of set-ups that are not decided before the next input. */
     private void flood(long caller, int firstCall) {
         harness.core.callerOpened(harness.now(), caller);
@@ -57,12 +53,12 @@
     void decidesSetUpsOfConnectionsInTurns() {
         harness.traceDisabled = true;
         flood(10, 0x100_000);
-        long refusedUnread = count("caller 10 release");
+        long refusedUnread = harness.count("caller 10 release");
         harness.core.callerOpened(harness.now(), 1);
         harness.core.callerRead(harness.now(), 1, harness.setUp(0x301, 1, 1500).encode());
         harness.core.routeNext(harness.now());
         harness.core.routeNext(harness.now());
-        assertThat(count(" INVITE")).isEqualTo(1);
-        assertThat(count("caller 10 release")).isEqualTo(refusedUnread + 1);
+        assertThat(harness.count(" INVITE")).isEqualTo(1);
+        assertThat(harness.count("caller 10 release")).isEqualTo(refusedUnread + 1);
     }
 }
--- a/src/test/java/coralcove/platform/ReleaseNotifierTest.java
+++ b/src/test/java/coralcove/platform/ReleaseNotifierTest.java
@@ -37,10 +37,6 @@
         }
     }
 
-    private long count(String part) {
-        return harness.sentMessages.stream().filter(each -> each.contains(part)).count();
-    }
-
     /**
      * Guards against releases that go to clients which request and are refused, and to no other.
      */
@@ -54,7 +50,8 @@
             harness.core.callerClosed(harness.now(), 2);
             requestRefusedCalls(10, 21);
             release(call + 0x100);
-            assertThat(count("caller 1 release " + Long.toHexString(call + 0x100))).isEqualTo(1);
+            assertThat(harness.count("caller 1 release " + Long.toHexString(call + 0x100)))
+                    .isEqualTo(1);
         }
     }
 
@@ -70,12 +67,14 @@
             harness.advanceTo(ms);
             requestRefusedCalls(10, 21);
         }
-        assertThat(count("release 301")).as("attempts").isEqualTo(4);
+        assertThat(harness.count("release 301")).as("attempts").isEqualTo(4);
         establish(2, 0x302);
-        assertThat(count("caller 2 release 301")).isEqualTo(1);
+        assertThat(harness.count("caller 2 release 301")).isEqualTo(1);
         harness.callerSends(2, CallerMessage.of(CallerMessage.RELEASE_COMPLETE, 0x301));
         establish(3, 0x303);
-        assertThat(count("release 301")).as("attempts after the acknowledgement").isEqualTo(5);
+        assertThat(harness.count("release 301"))
+                .as("attempts after the acknowledgement")
+                .isEqualTo(5);
     }
 
     /** Guards against clients that get releases because they acknowledge what was not sent. */
@@ -87,7 +86,7 @@
         harness.callerSends(10, CallerMessage.of(CallerMessage.RELEASE_COMPLETE, 0x301));
         harness.core.callerClosed(harness.now(), 1);
         release(0x301);
-        assertThat(count("caller 2 release 301")).isEqualTo(1);
+        assertThat(harness.count("caller 2 release 301")).isEqualTo(1);
     }
 
     /** Guards against releases and timers that are kept for callers who never come back. */
@@ -118,7 +117,7 @@
         }
         assertThat(harness.core.counterLine()).contains("owed 10000 unheard 1");
         establish(1, 0x301);
-        assertThat(count("caller 1 release 100001 ")).isZero();
-        assertThat(count("caller 1 release 100002 ")).isEqualTo(1);
+        assertThat(harness.count("caller 1 release 100001 ")).isZero();
+        assertThat(harness.count("caller 1 release 100002 ")).isEqualTo(1);
     }
 }
--- a/src/test/java/coralcove/platform/ReplacedExchangeTest.java
+++ b/src/test/java/coralcove/platform/ReplacedExchangeTest.java
@@ -18,10 +18,6 @@
         harness.core.callerOpened(harness.now(), 1);
     }
 
-    private long count(String part) {
-        return harness.sentMessages.stream().filter(each -> each.contains(part)).count();
-    }
-
     private long establish(long call) {
         harness.callerSends(1, harness.setUp(call, 1, 1500));
         long connection = harness.connectionOf(call);
@@ -29,9 +25,9 @@
         return connection;
     }
 
-    private void listNewer() {
+    private void listNewer(long eventNumber) {
         harness.listExchanges(
-                2,
+                eventNumber,
                 false,
                 new DiscoveryUpdate.Entry(
                         "s-09",
@@ -60,9 +56,9 @@
             harness.advanceTo(ms);
             harness.reportState(5, "x0:39;x1:40");
         }
-        assertThat(count("release 301")).isZero();
-        listNewer();
-        assertThat(count("caller 1 release 301 cause 41")).isEqualTo(1);
+        assertThat(harness.count("release 301")).isZero();
+        listNewer(2);
+        assertThat(harness.count("caller 1 release 301 cause 41")).isEqualTo(1);
     }
 
     /** The same where the list told of the older one's end first. */
@@ -74,17 +70,9 @@
                 2, false, RouterCoreHarness.entry("s-01", 1, DiscoveryUpdate.State.TERMINATED));
         harness.advanceTo(NEWER_LISTED_MS);
         harness.reportState(5, "x0:39;x1:40");
-        assertThat(count("release 301")).isZero();
-        harness.listExchanges(
-                3,
-                false,
-                new DiscoveryUpdate.Entry(
-                        "s-09",
-                        "10.1.0.1:5080",
-                        1,
-                        DiscoveryUpdate.State.IN_SERVICE,
-                        RouterCoreHarness.START / 1000 + NEWER_STARTS_MS));
-        assertThat(count("caller 1 release 301 cause 41")).isEqualTo(1);
+        assertThat(harness.count("release 301")).isZero();
+        listNewer(3);
+        assertThat(harness.count("caller 1 release 301 cause 41")).isEqualTo(1);
     }
 
     /** Guards against cutting calls that were set up at the newer exchange before it was listed. */
@@ -94,14 +82,14 @@
         replaceProcess();
         final long connection = establish(0x302);
         harness.advanceTo(NEWER_LISTED_MS);
-        listNewer();
-        assertThat(count("release 302")).isZero();
+        listNewer(2);
+        assertThat(harness.count("release 302")).isZero();
         assertThat(harness.closedConnections).contains(connection);
         harness.advanceTo(NEWER_LISTED_MS + 100);
         long newer = harness.openingConnections.get(0);
         harness.connectAll();
         harness.exchangeSends(newer, RouterCoreHarness.bye(0x302, 16));
-        assertThat(count("caller 1 release 302 cause 16")).isEqualTo(1);
+        assertThat(harness.count("caller 1 release 302 cause 16")).isEqualTo(1);
     }
 
     /** Guards against cutting the calls of a process that lives on, with the list in error. */
@@ -111,10 +99,10 @@
         harness.advanceTo(NEWER_LISTED_MS - 100);
         harness.reportState(1, "x0:39;x1:40");
         harness.advanceTo(NEWER_LISTED_MS);
-        listNewer();
+        listNewer(2);
         harness.advanceTo(NEWER_LISTED_MS + 1_000);
-        assertThat(count("release 301")).isZero();
+        assertThat(harness.count("release 301")).isZero();
         harness.exchangeSends(1, RouterCoreHarness.bye(0x301, 16));
-        assertThat(count("caller 1 release 301 cause 16")).isEqualTo(1);
+        assertThat(harness.count("caller 1 release 301 cause 16")).isEqualTo(1);
     }
 }
--- a/src/test/java/coralcove/platform/ReportedCallsTest.java
+++ b/src/test/java/coralcove/platform/ReportedCallsTest.java
@@ -30,17 +30,13 @@
                 .add(CallerMessage.ATTRIBUTES, "dest:1;width:1;via:-1;at:" + exchange);
     }
 
-    private long count(String part) {
-        return harness.sentMessages.stream().filter(each -> each.contains(part)).count();
-    }
-
     /** Guards against reports that fill the table of calls, so that all set-ups are refused. */
     @Test
     void keepsRoomForSetUps() {
         assertThat(harness.core.counterLine()).contains(" standing 8000 ", " told-not-kept 52000 ");
         harness.callerSends(1, harness.setUp(0x301, 1, 1500));
         harness.exchangeSends(harness.connectionOf(0x301), RouterCoreHarness.ok(0x301));
-        assertThat(count("caller 1 answer 301")).isEqualTo(1);
+        assertThat(harness.count("caller 1 answer 301")).isEqualTo(1);
     }
 
     /** Guards against reports of one client that leave no room for those of callers. */
@@ -56,7 +52,7 @@
             harness.advanceTo(1_000 + 1_000 * i);
             harness.connectionDown(harness.openingConnections.get(0), ConnectionLoss.REFUSED);
         }
-        assertThat(count("caller 1 release")).isEqualTo(0x100);
+        assertThat(harness.count("caller 1 release")).isEqualTo(0x100);
         assertThat(harness.core.counterLine()).contains(" standing 7744 ");
     }
 
@@ -71,6 +67,6 @@
         }
         assertThat(harness.core.counterLine()).contains(" owed 1001 ");
         harness.core.callerClosed(harness.now(), 1);
-        assertThat(count("caller 9 release 301 cause 16")).isEqualTo(1);
+        assertThat(harness.count("caller 9 release 301 cause 16")).isEqualTo(1);
     }
 }
--- a/src/test/java/coralcove/platform/RouterCoreHarness.java
+++ b/src/test/java/coralcove/platform/RouterCoreHarness.java
@@ -193,6 +193,11 @@
                 .add(CallerMessage.DESCRIPTION, SDP);
     }
 
+    /** The number of messages that the core has sent and that contain this text. */
+    long count(String part) {
+        return sentMessages.stream().filter(each -> each.contains(part)).count();
+    }
+
     /** The connection on which the last INVITE of this call was sent. */
     long connectionOf(long call) {
         String found =
--- a/src/test/java/coralcove/platform/RouterCoreTest.java
+++ b/src/test/java/coralcove/platform/RouterCoreTest.java
@@ -32,7 +32,7 @@
     }
 
     private long count(String part) {
-        return harness.sentMessages.stream().filter(each -> each.contains(part)).count();
+        return harness.count(part);
     }
 
     @Test
--- a/src/test/java/coralcove/platform/live/TcpConnectionsTest.java
+++ b/src/test/java/coralcove/platform/live/TcpConnectionsTest.java
@@ -60,10 +60,7 @@
     @Test
     void acceptsNoConnectionAtTheLimitUntilOneCloses() throws Exception {
         InetAddress loopback = InetAddress.getLoopbackAddress();
-        int port;
-        try (ServerSocket probe = new ServerSocket(0, 1, loopback)) {
-            port = probe.getLocalPort();
-        }
+        int port = SessionRouterHarness.freePort();
         List<Socket> sockets = new ArrayList<>();
         try (TcpConnections connections =
                 new TcpConnections(500, 20, SessionRouterServer::clock, new RecordingListener())) {
@@ -94,11 +91,7 @@
     /** Guards against a flood that is read although nobody processes it, or read slowly after. */
     @Test
     void readsNothingFromASuspendedConnectionAndContinuesAtOnce() throws Exception {
-        InetAddress loopback = InetAddress.getLoopbackAddress();
-        int port;
-        try (ServerSocket probe = new ServerSocket(0, 1, loopback)) {
-            port = probe.getLocalPort();
-        }
+        int port = SessionRouterHarness.freePort();
         TcpConnections[] suspending = new TcpConnections[1];
         RecordingListener listener =
                 new RecordingListener() {
@@ -138,10 +131,7 @@
         // Guards against a deadlock at shutdown: the acceptor at its limit waited for the core to
         // close connections, while the core waited for the acceptor to unbind.
         InetAddress loopback = InetAddress.getLoopbackAddress();
-        int port;
-        try (ServerSocket probe = new ServerSocket(0, 1, loopback)) {
-            port = probe.getLocalPort();
-        }
+        int port = SessionRouterHarness.freePort();
         List<Socket> sockets = new ArrayList<>();
         try (TcpConnections connections =
                 new TcpConnections(500, 2, SessionRouterServer::clock, new RecordingListener())) {
